Requests that cannot be repeated are packed onto few upstreams of an order that all ingresses share

Filling an upstream to half of its slots before the next leaves most episodes to idempotent requests, which can be repeated. One request in 16 ignores the order, so that no upstream stays unused; safe requests are spread as before.

Ruled out: reacting faster (breaks are answered in under 5 ms and doubt follows at once).

--- a/src/placement/PlacementPolicy.cpp
+++ b/src/placement/PlacementPolicy.cpp
@@ -1,5 +1,7 @@
 #include "placement/PlacementPolicy.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <functional>
 
@@ -14,6 +16,21 @@
 /** A busy slot slows an upstream down a little; it also spreads requests evenly. */
 constexpr double kLoadCost = 60;
 
+// Requests that cannot be repeated are packed onto few upstreams, see OrderCost().
+
+/** From the first upstream of the order to the last; less than kCrossingCost. */
+constexpr double kOrderCost = 40;
+
+/** Up to this part of the slots an upstream of the order is filled before the next. */
+constexpr double kPackedShare = 0.5;
+
+/** Busy slots up to and beyond that part. */
+constexpr double kPackedLoadCost = 8;
+constexpr double kOverloadCost = 80;
+
+/** One request in so many ignores the order, so that no upstream stays unused. */
+constexpr std::uint64_t kUnorderedPeriod = 16;
+
 /** Another failure domain: a round trip, and the price of the bytes of two heads. */
 constexpr double kCrossingCost = 60;
 
@@ -48,6 +65,7 @@
 
 /** Gates that cost about the same share the load, though all ingresses see the same figures. */
 constexpr double kSpread = 25;
+constexpr double kPackedSpread = 8;
 
 /** Gray failures strike up to a third of the upstreams of a service at a time. */
 constexpr double kLeastProvenShare = 0.5;
@@ -91,6 +109,29 @@
   return static_cast<double>((mixed * 0x9E3779B97F4A7C15ULL) >> 54) / kRange;
 }
 
+/** The same on all ingresses, so that they fill the same upstreams first. */
+double OrderCost(const GateView& aGate)
+{
+  constexpr double kRange = 1024;
+  const XXH64_hash_t hash = XXH64(aGate.vm.data(), aGate.vm.size(), 0);
+  return kOrderCost * static_cast<double>(hash % static_cast<XXH64_hash_t>(kRange)) / kRange;
+}
+
+/** What busy slots cost, and which gates go first among sound ones. */
+double LoadCost(const GateView& aGate, const PlacementRequest& aRequest)
+{
+  const double slots = std::max<std::uint32_t>(1, aGate.slots);
+  const double busy = std::max<double>(aGate.running + aGate.queued, aGate.outstanding);
+  const double queue = kRoundCost * std::max(0.0, busy + 1 - slots) / slots;
+  const double share = busy / slots;
+  if (aRequest.idempotent || aRequest.draw % kUnorderedPeriod == 0) {
+    return queue + kLoadCost * share + kSpread * Jitter(aGate, aRequest.draw);
+  }
+  const double packed =
+    kPackedLoadCost * share + kOverloadCost * std::max(0.0, share - kPackedShare);
+  return queue + packed + OrderCost(aGate) + kPackedSpread * Jitter(aGate, aRequest.draw);
+}
+
 } // namespace
 
 double PlacementPolicy::Cost(const GateView& aGate,
@@ -98,10 +139,7 @@
                              double aMedianRatio,
                              TimePoint aNow) const
 {
-  const double slots = std::max<std::uint32_t>(1, aGate.slots);
-  const double busy = std::max<double>(aGate.running + aGate.queued, aGate.outstanding);
-  double cost = kLoadCost * busy / slots;
-  cost += kRoundCost * std::max(0.0, busy + 1 - slots) / slots;
+  double cost = LoadCost(aGate, aRequest);
   if (aGate.failureDomain != mFailureDomain) {
     cost += kCrossingCost;
     cost += kCrossingCostPerKilobyte * static_cast<double>(aRequest.bodyBytes) / 1024;
@@ -127,7 +165,6 @@
     const double risk = std::max(0.0, aGate.gray - kOrdinaryRisk);
     cost += risk * (aRequest.idempotent ? kRepeatCost : kFailureCost);
   }
-  cost += kSpread * Jitter(aGate, aRequest.draw);
   return aGate.self ? cost - kSelfGain : cost;
 }
 
