Large bodies are sent once the gate has a place, and a request waits in one queue for part of its target

Gates of 20 upstreams have links of 10 Mbit/s, half of these upstreams were gray, and each photograph was sent to 2.6 gates that refused it before one took it: the links were full of bodies that nobody wanted. A body from 8 KB on now follows when the gate has a slot for the request; one whose body was not sent is "not run" if the link breaks. A gate's queue holds a request for 40% of its target instead of half of its remaining time, knows the bound on starts, and one that waited in vain is refused instead of queued again elsewhere.

Tests of the gate: body asked for once there is a slot, missing body, caller that leaves, refusal beyond the target.

--- a/src/fleet/FleetMessage.h
+++ b/src/fleet/FleetMessage.h
@@ -23,8 +23,10 @@
   kRateVerdict,
   kStatePull,
   kStatePush,
-  kProbe, //!< a heartbeat of a node whose state has not changed; no body
-  kAlive, //!< answer to a probe or heartbeat if the gate's state has not changed
+  kProbe,      //!< a heartbeat of a node whose state has not changed; no body
+  kAlive,      //!< answer to a probe or heartbeat if the gate's state has not changed
+  kBodyWanted, //!< the gate has a place for a call whose body has not been sent
+  kCallBody,
 };
 
 /** Kinds of state that nodes hand each other. */
@@ -112,6 +114,7 @@
   std::string target;
   std::vector<HeaderMessage> headers;
   std::string body;
+  bool bodyFollows = false; //!< the body is sent once the gate has a place for the call
   std::uint32_t remainingMs = 0;
   std::uint32_t latencyTargetMs = 0;
   std::int32_t priority = 0;
@@ -127,6 +130,7 @@
                  target,
                  headers,
                  body,
+                 bodyFollows,
                  remainingMs,
                  latencyTargetMs,
                  priority,
@@ -153,6 +157,20 @@
   MSGPACK_DEFINE(call, outcome, reason, waitMs, status, headers, body, running, queued, reached)
 };
 
+/** The gate keeps a place for a call and waits for its body. */
+struct BodyWantedMessage
+{
+  std::uint64_t call = 0;
+  MSGPACK_DEFINE(call)
+};
+
+struct CallBodyMessage
+{
+  std::uint64_t call = 0;
+  std::string body;
+  MSGPACK_DEFINE(call, body)
+};
+
 /** The ingress no longer wants the result of a call. */
 struct CancelMessage
 {
--- a/src/fleet/FleetServer.cpp
+++ b/src/fleet/FleetServer.cpp
@@ -85,6 +85,10 @@
     if (auto call = DecodeFleetMessage<CallMessage>(rest)) {
       OnCall(aPeer, std::move(*call));
     }
+  } else if (kind == FleetMessage::kCallBody) {
+    if (auto body = DecodeFleetMessage<CallBodyMessage>(rest)) {
+      OnCallBody(aPeer, std::move(*body));
+    }
   } else if (kind == FleetMessage::kHeartbeat) {
     if (const auto heartbeat = DecodeFleetMessage<HeartbeatMessage>(rest)) {
       aPeer->heartbeat = *heartbeat;
@@ -136,20 +140,34 @@
   const std::uint64_t id = aCall.call;
   std::weak_ptr<Peer> weak = aPeer;
   auto ended = std::make_shared<bool>(false);
-  const Ticket ticket =
-    mHandlers.submit(std::move(aCall), [weak, id, ended](CallResultMessage aResult) {
-      *ended = true;
-      if (const PeerPtr peer = weak.lock()) {
-        aResult.call = id;
-        peer->calls.erase(id);
-        peer->connection->Send(EncodeFleetMessage(FleetMessage::kCallResult, aResult));
-      }
-    });
+  const auto onResult = [weak, id, ended](CallResultMessage aResult) {
+    *ended = true;
+    if (const PeerPtr peer = weak.lock()) {
+      aResult.call = id;
+      peer->calls.erase(id);
+      peer->connection->Send(EncodeFleetMessage(FleetMessage::kCallResult, aResult));
+    }
+  };
+  const auto wantBody = [weak, id] {
+    if (const PeerPtr peer = weak.lock()) {
+      const BodyWantedMessage wanted{ id };
+      peer->connection->Send(EncodeFleetMessage(FleetMessage::kBodyWanted, wanted));
+    }
+  };
+  const Ticket ticket = mHandlers.submit(std::move(aCall), onResult, wantBody);
   if (!*ended) {
     aPeer->calls.emplace(id, ticket);
   }
 }
 
+void FleetServer::OnCallBody(const PeerPtr& aPeer, CallBodyMessage aBody)
+{
+  const auto call = aPeer->calls.find(aBody.call);
+  if (call != aPeer->calls.end()) {
+    mHandlers.giveBody(call->second, std::move(aBody.body));
+  }
+}
+
 void FleetServer::OnClosed(const PeerPtr& aPeer)
 {
   mPeers.erase(aPeer.get());
--- a/src/fleet/FleetServer.h
+++ b/src/fleet/FleetServer.h
@@ -26,7 +26,9 @@
 
   struct Handlers
   {
-    std::function<Ticket(CallMessage, ResultFn)> submit;
+    /** The second function asks the ingress for a body that follows. */
+    std::function<Ticket(CallMessage, ResultFn, std::function<void()>)> submit;
+    std::function<void(Ticket, std::string aBody)> giveBody;
     std::function<void(Ticket)> cancel;
     std::function<void(const HelloMessage&)> onHello;
     std::function<void(const std::string& aVm, const HeartbeatMessage&)> onHeartbeat;
@@ -64,6 +66,7 @@
   void Adopt(boost::asio::ip::tcp::socket aSocket);
   void OnFrame(const PeerPtr& aPeer, std::string_view aBody);
   void OnCall(const PeerPtr& aPeer, CallMessage aCall);
+  void OnCallBody(const PeerPtr& aPeer, CallBodyMessage aBody);
   void OnClosed(const PeerPtr& aPeer);
   void SendStatus(const PeerPtr& aPeer);
 
--- a/src/fleet/PeerLink.cpp
+++ b/src/fleet/PeerLink.cpp
@@ -2,6 +2,8 @@
 
 #include "fleet/FleetCodec.h"
 #include "mustardwinch/Event.h"
+#include "mustardwinch/ResultCode.h"
+#include "sidecar/CallOutcome.h"
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -19,6 +21,10 @@
 /** Some round trips between failure domains: a dial that takes longer has most likely been lost. */
 constexpr Milliseconds kUsualDialTime{ 20 };
 
+/** Bodies from this size on are sent only to a gate that has a place for the request: a refusal
+ *  would cost the links more than a round trip costs the caller. */
+constexpr std::size_t kLargeBody = 8U << 10;
+
 /** Addresses of VMs that are gone go to others; it is seldom that one comes back. */
 constexpr Milliseconds kOtherNodePause{ 5'000 };
 
@@ -29,6 +35,15 @@
 /** A tick of the loop, a busy peer and the round trip. */
 constexpr Milliseconds kAnswerSlack{ 300 };
 
+/** A call whose body was never sent cannot have run. */
+CallResultMessage NotRun()
+{
+  CallResultMessage result;
+  result.outcome = static_cast<std::uint8_t>(CallOutcome::kRefused);
+  result.reason = static_cast<std::uint32_t>(ResultCode::kLinkDown);
+  return result;
+}
+
 } // namespace
 
 PeerLink::PeerLink(boost::asio::io_context& aLoop,
@@ -192,7 +207,13 @@
   }
   aId = mNext++;
   aCall.call = aId;
-  mPending.emplace(aId, Pending{ std::move(aDone), mConnection });
+  Pending pending{ std::move(aDone), mConnection, {} };
+  if (aCall.body.size() >= kLargeBody) {
+    pending.body = std::move(aCall.body);
+    aCall.body.clear();
+    aCall.bodyFollows = true;
+  }
+  mPending.emplace(aId, std::move(pending));
   ++mView.outstanding;
   mConnection->Send(EncodeFleetMessage(FleetMessage::kCall, aCall));
   return true;
@@ -240,6 +261,10 @@
     if (auto result = DecodeFleetMessage<CallResultMessage>(rest)) {
       OnResult(std::move(*result));
     }
+  } else if (kind == FleetMessage::kBodyWanted) {
+    if (const auto wanted = DecodeFleetMessage<BodyWantedMessage>(rest)) {
+      OnBodyWanted(wanted->call);
+    }
   } else if (kind == FleetMessage::kGateStatus) {
     if (const auto status = DecodeFleetMessage<GateStatusMessage>(rest)) {
       mHeard = mHeard || aConnection == mConnection;
@@ -278,6 +303,16 @@
   pending.mapped().done(std::move(aResult));
 }
 
+void PeerLink::OnBodyWanted(std::uint64_t aCall)
+{
+  const auto it = mPending.find(aCall);
+  if (it == mPending.end()) {
+    return; // it was cancelled, and the gate has been told
+  }
+  const CallBodyMessage body{ aCall, std::exchange(it->second.body, {}) };
+  it->second.connection->Send(EncodeFleetMessage(FleetMessage::kCallBody, body));
+}
+
 /** The VM is gone and its address went to another, which has a link of its own. */
 void PeerLink::OnOtherNode(const std::string& aVm)
 {
@@ -327,18 +362,18 @@
     mNextDial = mOtherNode ? mClock.Now() + kOtherNodePause : mClock.Now();
     mAsks.clear();
   }
-  std::vector<ResultFn> lost;
+  std::vector<Pending> lost;
   std::erase_if(mPending, [&](auto& aEntry) {
     const bool gone = !aEntry.second.connection->IsOpen();
     if (gone) {
-      lost.push_back(std::move(aEntry.second.done));
+      lost.push_back(std::move(aEntry.second));
     }
     return gone;
   });
   mView.outstanding -=
     std::min<std::uint32_t>(mView.outstanding, static_cast<std::uint32_t>(lost.size()));
-  for (const ResultFn& it : lost) {
-    it(std::nullopt);
+  for (const Pending& it : lost) {
+    it.done(it.body.empty() ? std::nullopt : std::optional(NotRun()));
   }
 }
 
--- a/src/fleet/PeerLink.h
+++ b/src/fleet/PeerLink.h
@@ -48,7 +48,10 @@
   /** Dials, sends heartbeats and judges silence. Called several times a second. */
   void Tick();
 
-  /** Sends a call. False if there is no connection; aDone is then never called. */
+  /**
+   * Sends a call, a large body only when the gate has a place for it. False if there is no
+   * connection; aDone is then never called.
+   */
   bool Call(CallMessage aCall, ResultFn aDone, std::uint64_t& aId);
   void Cancel(std::uint64_t aId);
 
@@ -89,12 +92,14 @@
   {
     ResultFn done;
     std::shared_ptr<FrameConnection> connection;
+    std::string body; //!< not sent yet
   };
 
   void Dial();
   void OnDialled(std::shared_ptr<FrameConnection> aConnection);
   void OnFrame(const std::shared_ptr<FrameConnection>& aConnection, std::string_view aBody);
   void OnResult(CallResultMessage aResult);
+  void OnBodyWanted(std::uint64_t aCall);
   void OnStatus(const GateStatusMessage& aStatus);
   void OnOtherNode(const std::string& aVm);
   void OnClosed(const std::shared_ptr<FrameConnection>& aConnection);
--- a/src/sidecar/CallCodec.cpp
+++ b/src/sidecar/CallCodec.cpp
@@ -44,6 +44,7 @@
   message.mayWait = aCall.mayWait;
   message.lastResort = aCall.lastResort;
   message.repeat = aCall.repeat;
+  message.bodyFollows = aCall.bodyFollows;
   return message;
 }
 
@@ -64,6 +65,7 @@
   call.mayWait = aMessage.mayWait;
   call.lastResort = aMessage.lastResort;
   call.repeat = aMessage.repeat;
+  call.bodyFollows = aMessage.bodyFollows;
   return call;
 }
 
--- a/src/sidecar/Exchange.cpp
+++ b/src/sidecar/Exchange.cpp
@@ -31,6 +31,9 @@
 /** An idempotent request is not repeated with less time left than this. */
 constexpr Milliseconds kLeastTimeToRepeat{ 120 };
 
+/** A refusal that took longer came from a queue. */
+constexpr Milliseconds kWaitedInQueue{ 100 };
+
 constexpr Milliseconds kRetryAfterDefault{ 400 };
 constexpr Milliseconds kRetryAfterMost{ 2'000 };
 
@@ -274,7 +277,7 @@
     mPlacement.excluded.insert(vm);
     mServices.gates.noteChosen(vm);
     const std::uint64_t id = mNextAttempt++;
-    mAttempts.emplace(id, Attempt{ vm, mServices.clock.Now(), {} });
+    mAttempts.emplace(id, Attempt{ vm, mServices.clock.Now(), aMayWait, {} });
     GateDirectory::CancelFn cancel = mServices.gates.submit(
       vm, MakeCall(aMayWait, inDoubt), [self = shared_from_this(), id](GateCallResult aResult) {
         self->OnResult(id, std::move(aResult));
@@ -398,6 +401,11 @@
   if (aResult.reason == ResultCode::kGateQueueFull) {
     mServices.gates.noteFull(aAttempt.vm, aResult.wait);
   }
+  const bool waited = aAttempt.mayWait && mServices.clock.Now() - aAttempt.begin >= kWaitedInQueue;
+  if (waited && !aResult.reached) {
+    GiveUpIfIdle(); // the others are as full, and the time for a second queue is not there
+    return;
+  }
   if (aResult.reached) {
     Repeat();
     return;
--- a/src/sidecar/Exchange.h
+++ b/src/sidecar/Exchange.h
@@ -44,6 +44,7 @@
   {
     std::string vm;
     TimePoint begin{};
+    bool mayWait = false; //!< in the gate's queue
     GateDirectory::CancelFn cancel;
   };
 
--- a/src/sidecar/Gate.cpp
+++ b/src/sidecar/Gate.cpp
@@ -23,6 +23,9 @@
 /** Share of the announced idle limit up to which a connection is used. */
 constexpr double kIdleShare = 0.7;
 
+/** A body takes 50 ms on a link of 10 Mbit/s; after this time the ingress or the path is gone. */
+constexpr Milliseconds kBodyTimeout{ 1'000 };
+
 constexpr std::size_t kMaxPooled = 16;
 constexpr std::size_t kMaxAnswerBytes = 64U << 20;
 constexpr double kInitialWorkMs = 300;
@@ -37,6 +40,11 @@
 /** Part of the remaining time that a request may wait, so that it can still be answered. */
 constexpr double kWaitShare = 0.5;
 
+/** Part of the latency target that it may wait: where more comes than can be served, a queue that
+ *  makes all late serves no more than a short one. */
+constexpr double kTargetWaitShare = 0.4;
+constexpr Milliseconds kLeastPatience{ 150 };
+
 } // namespace
 
 Gate::Gate(boost::asio::io_context& aLoop,
@@ -120,10 +128,8 @@
 
 bool Gate::HasRoom(const GateCall& aCall) const
 {
-  const TimePoint now = mClock.Now();
-  const double perSecond = mSurroundings.coldStartsPerSecond(aCall.service);
   return mRunning.size() < std::max<std::uint32_t>(1, mState.Current().slots) &&
-         mStarts.Allows(now, mCold.StartsPerSecond(perSecond, mState.IsCold(now)));
+         mStarts.Allows(mClock.Now(), StartsPerSecond(aCall.service));
 }
 
 double Gate::RepeatShare() const
@@ -135,11 +141,30 @@
          static_cast<double>(std::max<std::size_t>(1, mRunning.size()));
 }
 
-Milliseconds Gate::ExpectedWait(int aPriority) const
+Milliseconds Gate::ExpectedWait(const std::string& aService, int aPriority) const
 {
+  constexpr double kMillisecondsPerSecond = 1'000;
   const double slots = std::max<std::uint32_t>(1, mState.Current().slots);
   const double ahead = static_cast<double>(mQueue.Ahead(aPriority)) + 1;
-  return Milliseconds(static_cast<int>(mWorkMs * ahead / slots));
+  const double starts = StartsPerSecond(aService);
+  const double forStart = starts > 0 ? kMillisecondsPerSecond / starts : 0;
+  return Milliseconds(static_cast<int>(ahead * std::max(mWorkMs / slots, forStart)));
+}
+
+Duration Gate::Patience(const GateCall& aCall) const
+{
+  const auto most = std::chrono::duration_cast<Duration>(aCall.remaining * kWaitShare);
+  if (aCall.latencyTarget.count() == 0) {
+    return most;
+  }
+  const auto usual = std::chrono::duration_cast<Duration>(aCall.latencyTarget * kTargetWaitShare);
+  return std::min(most, std::max<Duration>(usual, kLeastPatience));
+}
+
+double Gate::StartsPerSecond(const std::string& aService) const
+{
+  const double bearable = mSurroundings.coldStartsPerSecond(aService);
+  return mCold.StartsPerSecond(bearable, mState.IsCold(mClock.Now()));
 }
 
 void Gate::Refuse(const ResultFn& aDone, ResultCode aReason, Milliseconds aWait)
@@ -153,7 +178,7 @@
   aDone(std::move(result));
 }
 
-Gate::Ticket Gate::Submit(GateCall aCall, ResultFn aDone)
+Gate::Ticket Gate::Submit(GateCall aCall, ResultFn aDone, std::function<void()> aWantBody)
 {
   const Ticket ticket = mNext++;
   if (const auto reason = WhyNot(aCall)) {
@@ -163,17 +188,18 @@
   const TimePoint now = mClock.Now();
   const TimePoint deadline = now + aCall.remaining;
   if (mQueue.Size() == 0 && HasRoom(aCall)) {
-    Start(ticket, { std::move(aCall), std::move(aDone), deadline });
+    Start(ticket, { std::move(aCall), std::move(aDone), std::move(aWantBody), deadline });
     return ticket;
   }
-  const Milliseconds wait = ExpectedWait(aCall.priority);
-  const Duration patience = std::chrono::duration_cast<Duration>(aCall.remaining * kWaitShare);
+  const Milliseconds wait = ExpectedWait(aCall.service, aCall.priority);
+  const Duration patience = Patience(aCall);
   if (!aCall.mayWait || wait > patience) {
     Refuse(aDone, ResultCode::kGateQueueFull, wait);
     return ticket;
   }
   mQueue.Add({ ticket, aCall.priority, aCall.organisation, now, now + patience });
-  mWaiting.emplace(ticket, Waiting{ std::move(aCall), std::move(aDone), deadline });
+  mWaiting.emplace(ticket,
+                   Waiting{ std::move(aCall), std::move(aDone), std::move(aWantBody), deadline });
   return ticket;
 }
 
@@ -187,9 +213,14 @@
   if (it == mRunning.end()) {
     return;
   }
-  it->second->cancelled = true;
-  if (it->second->call.idempotent) {
-    it->second->channel->Close();
+  const ActivePtr run = it->second;
+  run->cancelled = true;
+  if (run->call.bodyFollows) {
+    run->timer->cancel();
+    mRunning.erase(it);
+    StartWaiting();
+  } else if (run->call.idempotent && run->channel) {
+    run->channel->Close();
   }
 }
 
@@ -214,7 +245,8 @@
   const TimePoint now = mClock.Now();
   for (const WaitingRequest& it : mQueue.TakeExpired(now)) {
     const auto waiting = mWaiting.extract(it.id);
-    Refuse(waiting.mapped().done, ResultCode::kGateQueueFull, ExpectedWait(it.priority));
+    const Milliseconds wait = ExpectedWait(waiting.mapped().call.service, it.priority);
+    Refuse(waiting.mapped().done, ResultCode::kGateQueueFull, wait);
   }
   for (const auto& [ticket, run] : mRunning) {
     if (!run->late && run->sent && now - run->begin > StallTime(run->call)) {
@@ -294,22 +326,60 @@
   run->begin = now;
   run->deadline = aWaiting.deadline;
   run->timer = std::make_unique<boost::asio::steady_timer>(mLoop);
-  run->timer->expires_after(run->deadline - now);
-  run->timer->async_wait([run](const boost::system::error_code& aError) {
+  mRunning.emplace(aTicket, run);
+  if (run->call.bodyFollows) {
+    AwaitBody(aTicket, run);
+    aWaiting.wantBody();
+    return;
+  }
+  Send(aTicket, run);
+}
+
+void Gate::AwaitBody(Ticket aTicket, const ActivePtr& aRun)
+{
+  aRun->timer->expires_after(std::min<Duration>(aRun->deadline - aRun->begin, kBodyTimeout));
+  aRun->timer->async_wait([this, aTicket, aRun](const boost::system::error_code& aError) {
+    if (aError || !aRun->call.bodyFollows || mRunning.count(aTicket) == 0) {
+      return; // it came, or nobody waits for it any more
+    }
+    GateCallResult result;
+    result.outcome = CallOutcome::kRefused;
+    result.reason = ResultCode::kLinkTimeout;
+    Finish(aTicket, aRun, std::move(result));
+  });
+}
+
+void Gate::GiveBody(Ticket aTicket, std::string aBody)
+{
+  const auto it = mRunning.find(aTicket);
+  if (it == mRunning.end() || !it->second->call.bodyFollows) {
+    return;
+  }
+  const ActivePtr run = it->second;
+  run->call.request.body = std::move(aBody);
+  run->call.bodyFollows = false;
+  run->begin = mClock.Now();
+  Send(aTicket, run);
+}
+
+/** On a pooled connection or a new one. */
+void Gate::Send(Ticket aTicket, const ActivePtr& aRun)
+{
+  aRun->timer->expires_after(aRun->deadline - aRun->begin);
+  aRun->timer->async_wait([aRun](const boost::system::error_code& aError) {
     // A handler that is queued when the answer comes cannot be cancelled any more.
-    if (!aError && run->channel) {
-      run->timedOut = true;
-      run->channel->Close();
+    if (!aError && aRun->channel) {
+      aRun->timedOut = true;
+      aRun->channel->Close();
     }
   });
-  mRunning.emplace(aTicket, run);
-  run->channel = TakePooled(run->call.idempotent);
-  if (run->channel) {
-    run->pooled = true;
-    Exchange(aTicket, run);
+  aRun->channel = TakePooled(aRun->call.idempotent);
+  if (aRun->channel) {
+    aRun->pooled = true;
+    Exchange(aTicket, aRun);
     return;
   }
-  Connect(aTicket, run);
+  Connect(aTicket, aRun);
 }
 
 void Gate::Connect(Ticket aTicket, const ActivePtr& aRun)
--- a/src/sidecar/Gate.h
+++ b/src/sidecar/Gate.h
@@ -52,8 +52,15 @@
   void Leave(const std::string& aInstance, std::uint64_t aBorn);
   void RememberLeaving(const std::string& aInstance) { mState.RememberLeaving(aInstance); }
 
-  /** Runs or queues a request. aDone is called once, later or before this returns. */
-  Ticket Submit(GateCall aCall, ResultFn aDone);
+  /**
+   * Runs or queues a request. aDone is called once, later or before this returns.
+   *
+   * @param aWantBody called when a request whose body follows has got its slot
+   */
+  Ticket Submit(GateCall aCall, ResultFn aDone, std::function<void()> aWantBody = {});
+
+  /** The body of a request that has its slot. */
+  void GiveBody(Ticket aTicket, std::string aBody);
 
   /** The result is no longer wanted: a queued request is dropped, a running idempotent one ended.
    */
@@ -84,6 +91,7 @@
   {
     GateCall call;
     ResultFn done;
+    std::function<void()> wantBody;
     TimePoint deadline{};
   };
 
@@ -106,9 +114,15 @@
 
   std::optional<ResultCode> WhyNot(const GateCall& aCall) const;
   bool HasRoom(const GateCall& aCall) const;
-  Milliseconds ExpectedWait(int aPriority) const;
+  double StartsPerSecond(const std::string& aService) const;
+  Milliseconds ExpectedWait(const std::string& aService, int aPriority) const;
+
+  /** How long the request may wait here. */
+  Duration Patience(const GateCall& aCall) const;
   void Refuse(const ResultFn& aDone, ResultCode aReason, Milliseconds aWait);
   void Start(Ticket aTicket, Waiting aWaiting);
+  void Send(Ticket aTicket, const ActivePtr& aRun);
+  void AwaitBody(Ticket aTicket, const ActivePtr& aRun);
   void Connect(Ticket aTicket, const ActivePtr& aRun);
   void Exchange(Ticket aTicket, const ActivePtr& aRun);
   void OnExchanged(Ticket aTicket, const ActivePtr& aRun, HttpChannelResult aResult);
--- a/src/sidecar/GateCall.h
+++ b/src/sidecar/GateCall.h
@@ -18,9 +18,10 @@
   int priority = 0;
   std::string organisation;
   bool idempotent = false;
-  bool mayWait = false;    //!< may be queued; otherwise it starts at once or is refused
-  bool lastResort = false; //!< run even if the upstream is doubtful
-  bool repeat = false;     //!< it was sent to an upstream before
+  bool mayWait = false;     //!< may be queued; otherwise it starts at once or is refused
+  bool lastResort = false;  //!< run even if the upstream is doubtful
+  bool repeat = false;      //!< it was sent to an upstream before
+  bool bodyFollows = false; //!< the request's body is handed over once the gate has a place for it
 
   bool operator==(const GateCall&) const = default;
 };
--- a/src/sidecar/SidecarNode.cpp
+++ b/src/sidecar/SidecarNode.cpp
@@ -281,10 +281,15 @@
 FleetServer::Handlers SidecarNode::ServerHandlers()
 {
   FleetServer::Handlers handlers;
-  handlers.submit = [this](CallMessage aCall, FleetServer::ResultFn aDone) {
-    return mGate.Submit(
-      FromMessage(std::move(aCall)),
-      [done = std::move(aDone)](GateCallResult aResult) { done(ToMessage(std::move(aResult))); });
+  handlers.submit =
+    [this](CallMessage aCall, FleetServer::ResultFn aDone, std::function<void()> aWantBody) {
+      return mGate.Submit(
+        FromMessage(std::move(aCall)),
+        [done = std::move(aDone)](GateCallResult aResult) { done(ToMessage(std::move(aResult))); },
+        std::move(aWantBody));
+    };
+  handlers.giveBody = [this](Gate::Ticket aTicket, std::string aBody) {
+    mGate.GiveBody(aTicket, std::move(aBody));
   };
   handlers.cancel = [this](Gate::Ticket aTicket) { mGate.Cancel(aTicket); };
   handlers.onHello = [this](const HelloMessage& aHello) {
--- a/tests/sidecar/GateTest.cpp
+++ b/tests/sidecar/GateTest.cpp
@@ -36,6 +36,22 @@
     gate.Submit(std::move(call), [&aResult](GateCallResult aDone) { aResult = std::move(aDone); });
   }
 
+  Gate::Ticket SubmitWithoutBody(const std::string& aId, std::optional<GateCallResult>& aResult)
+  {
+    GateCall call;
+    call.requestId = aId;
+    call.service = "booking";
+    call.request = { "POST", "/x", { { "X-Request-Id", aId } }, "" };
+    call.remaining = Seconds(4);
+    call.latencyTarget = Seconds(1);
+    call.mayWait = true;
+    call.bodyFollows = true;
+    return gate.Submit(
+      std::move(call),
+      [&aResult](GateCallResult aDone) { aResult = std::move(aDone); },
+      [this] { ++bodiesWanted; });
+  }
+
   template<typename Done>
   void RunUntil(Done aDone)
   {
@@ -59,6 +75,7 @@
              platform::MakePlatformBinding(gateLoop, kUnused).names,
              ColdSettings{},
              Calm() };
+  int bodiesWanted = 0;
   std::optional<GateCallResult> first;
   std::optional<GateCallResult> second;
 
@@ -87,6 +104,61 @@
   CHECK(second->outcome == CallOutcome::kAnswered);
 }
 
+TEST_CASE_FIXTURE(GateFixture,
+                  "Gate, body follows, asked for once there is a slot and then sent on whole")
+{
+  Submit("q-1", Seconds(4), first);
+  const Gate::Ticket ticket = SubmitWithoutBody("q-2", second);
+  CHECK(bodiesWanted == 0);
+  RunUntil([&] { return first.has_value() && bodiesWanted == 1; });
+  CHECK(gate.Running() == 1);
+  gate.GiveBody(ticket, "photograph");
+  RunUntil([&] { return second.has_value(); });
+  REQUIRE(second);
+  CHECK(second->outcome == CallOutcome::kAnswered);
+  CHECK(upstream.requests.back().body == "photograph");
+}
+
+TEST_CASE_FIXTURE(GateFixture, "Gate, body does not come, refused as not run and the slot is free")
+{
+  SubmitWithoutBody("q-1", first);
+  Submit("q-2", Seconds(4), second);
+  RunUntil([&] { return second.has_value(); });
+  REQUIRE(first);
+  CHECK(first->outcome == CallOutcome::kRefused);
+  CHECK_FALSE(first->reached);
+  REQUIRE(second);
+  CHECK(second->outcome == CallOutcome::kAnswered);
+  CHECK(upstream.requests.size() == 1);
+}
+
+TEST_CASE_FIXTURE(GateFixture, "Gate, caller leaves before the body has come, the slot is free")
+{
+  const Gate::Ticket ticket = SubmitWithoutBody("q-1", first);
+  Submit("q-2", Seconds(4), second);
+  gate.Cancel(ticket);
+  gate.GiveBody(ticket, "late");
+  RunUntil([&] { return second.has_value(); });
+  CHECK_FALSE(first);
+  REQUIRE(second);
+  CHECK(second->outcome == CallOutcome::kAnswered);
+  CHECK(upstream.requests.size() == 1);
+}
+
+TEST_CASE_FIXTURE(GateFixture, "Gate, more waits than the latency target allows, refused at once")
+{
+  upstream.hang = true;
+  Submit("q-0", Seconds(4), first);
+  std::vector<std::optional<GateCallResult>> later(6);
+  for (auto& it : later) {
+    Submit("q", Seconds(4), it);
+  }
+  CHECK_FALSE(later.front()); // 300 ms a request: the first may wait 400 ms
+  REQUIRE(later.back());
+  CHECK(later.back()->outcome == CallOutcome::kRefused);
+  CHECK(later.back()->wait >= Milliseconds(400));
+}
+
 TEST_CASE_FIXTURE(GateFixture,
                   "Gate, connection made and its time limit over at once, the request is not cut")
 {
--- a/tests/sidecar/SidecarFleet.h
+++ b/tests/sidecar/SidecarFleet.h
@@ -167,7 +167,8 @@
   HttpAnswer Call(std::size_t aNode,
                   const std::string& aMethod,
                   const std::string& aTarget,
-                  const std::string& aKey = "k-org")
+                  const std::string& aKey = "k-org",
+                  const std::string& aBody = "")
   {
     HttpRequest request{ aMethod,
                          aTarget,
@@ -176,7 +177,7 @@
                            { "X-Request-Timeout-Ms", "2000" },
                            { "X-Caller-Service", "forged" },
                            { "X-Tenant", "forged" } },
-                         "" };
+                         aBody };
     if (!aKey.empty()) {
       request.headers.push_back({ "X-Api-Key", aKey });
     }
--- a/tests/sidecar/SidecarFleetTest.cpp
+++ b/tests/sidecar/SidecarFleetTest.cpp
@@ -66,6 +66,21 @@
   }
 }
 
+TEST_CASE_FIXTURE(SidecarFleet, "Sidecar fleet, large bodies, reach all upstreams whole")
+{
+  std::string body(50'000, 'x');
+  body.back() = 'y';
+  for (std::size_t i = 0; i < 12; ++i) {
+    CHECK(Call(i % members.size(), "POST", "/unsafe/x", "k-org", body).status == 200);
+  }
+  CHECK(Runs() == 12); // most of them are not beside the node that was called
+  for (const Member& it : members) {
+    for (const HttpRequest& request : it.upstream->requests) {
+      CHECK(request.body == body);
+    }
+  }
+}
+
 TEST_CASE_FIXTURE(SidecarFleet,
                   "Sidecar fleet, one upstream hangs, a safe request is hedged in time")
 {
