--- /dev/null
+++ b/src/sidecar/SidecarNodeLinks.cpp
@@ -0,0 +1,123 @@
+#include "sidecar/SidecarNode.h"
+
+#include "mustardwinch/Event.h"
+#include "sidecar/CallCodec.h"
+#include "sidecar/RetryPool.h"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+namespace mustardwinch {
+
+PeerLink::Surroundings SidecarNode::LinkSurroundings()
+{
+  PeerLink::Surroundings surroundings;
+  surroundings.hello = [this](const std::string& aVm) {
+    const PeerLink* link = mLinks.Find(aVm);
+    return HelloMessage{ mSettings.vmName,
+                         mSettings.advertisedLink.ToString(),
+                         mSettings.failureDomain,
+                         mSettings.service,
+                         link != nullptr ? link->LeavingInstance() : std::string() };
+  };
+  surroundings.heartbeat = [this] {
+    return HeartbeatMessage{ mState.ConfigVersion(),
+                             mState.EvacuationsRevision(),
+                             mLinks.UnheardTags() };
+  };
+  surroundings.onStatus = [this](PeerLink& aLink, const GateStatusMessage& aStatus) {
+    OnPeerState(aLink, aStatus.configVersion, aStatus.evacuationsRevision);
+  };
+  surroundings.onState = [this](const StatePushMessage& aPush) { mState.OnPush(aPush); };
+  return surroundings;
+}
+
+FleetServer::Handlers SidecarNode::ServerHandlers()
+{
+  FleetServer::Handlers handlers;
+  handlers.submit =
+    [this](CallMessage aCall, FleetServer::ResultFn aDone, std::function<void()> aWantBody) {
+      return mGate.Submit(
+        FromMessage(std::move(aCall)),
+        [done = std::move(aDone)](GateCallResult aResult) { done(ToMessage(std::move(aResult))); },
+        std::move(aWantBody));
+    };
+  handlers.giveBody = [this](Gate::Ticket aTicket, std::string aBody) {
+    mGate.GiveBody(aTicket, std::move(aBody));
+  };
+  handlers.cancel = [this](Gate::Ticket aTicket) { mGate.Cancel(aTicket); };
+  handlers.onHello = [this](const HelloMessage& aHello) {
+    if (!aHello.seenInstance.empty()) {
+      mGate.RememberLeaving(aHello.seenInstance);
+    }
+    const auto address = Address::Parse(aHello.address);
+    if (!address) {
+      return;
+    }
+    if (PeerLink* link = mLinks.Find(aHello.vm)) {
+      link->OnPeerCame(*address);
+    } else {
+      mLinks.Put({ aHello.vm, *address, aHello.failureDomain, aHello.service, 0 });
+    }
+  };
+  handlers.onHeartbeat = [this](const std::string& aVm, const HeartbeatMessage& aHeartbeat) {
+    mLinks.NoteUnheard(aVm, aHeartbeat.unheard);
+    if (PeerLink* link = mLinks.Find(aVm)) {
+      OnPeerState(*link, aHeartbeat.configVersion, aHeartbeat.evacuationsRevision);
+    }
+  };
+  handlers.takeRate = [this](const RateAskMessage& aAsk, const RateDesk::VerdictFn& aDone) {
+    if (static_cast<RateKind>(aAsk.kind) == RateKind::kRetries) {
+      mRetryRates.Serve(RetryPoolOf(aAsk.name, mSettings.retries), aAsk, aDone);
+      return;
+    }
+    const auto routing = mState.Routing();
+    const TrafficOrganisation* found = routing ? routing->FindOrganisation(aAsk.name) : nullptr;
+    if (found == nullptr) {
+      aDone({});
+      return;
+    }
+    mRates.Serve(found->organisation, aAsk, aDone);
+  };
+  handlers.state = [this](SharedState aState) { return mState.Push(aState); };
+  handlers.status = [this] { return Status(); };
+  return handlers;
+}
+
+GateStatusMessage SidecarNode::Status() const
+{
+  GateStatusMessage status;
+  status.available = mGate.IsAvailable();
+  status.trust = static_cast<std::uint8_t>(mGate.Trust());
+  status.running = mGate.Running();
+  status.queued = mGate.Queued();
+  status.slots = mGate.State().IsKnown() ? mGate.State().Current().slots : 0;
+  status.latencyPercent =
+    static_cast<std::uint32_t>(100 * mGate.Health().LatencyRatioAt(mClock.Now()));
+  status.grayPercent = static_cast<std::uint32_t>(100 * mGate.Health().GrayAt(mClock.Now()));
+  status.configVersion = mState.ConfigVersion();
+  status.evacuationsRevision = mState.EvacuationsRevision();
+  status.leaving = mGate.State().LeavingInstance();
+  status.vm = mSettings.vmName;
+  status.service = mGate.State().IsKnown() ? mGate.State().Current().service : std::string();
+  const auto age = std::chrono::duration_cast<Milliseconds>(mClock.Now() - mBegan);
+  status.ageMs = static_cast<std::uint32_t>(
+    std::min<std::int64_t>(age.count(), std::numeric_limits<std::uint32_t>::max()));
+  return status;
+}
+
+/** A peer that is ahead hands its state over. */
+void SidecarNode::OnPeerState(PeerLink& aLink, std::uint64_t aConfig, std::uint64_t aEvacuations)
+{
+  const TimePoint now = mClock.Now();
+  const bool near = aLink.Member().failureDomain == mSettings.failureDomain;
+  if (mConfigPull.ShouldPull(now, mState.ConfigVersion(), aConfig, near)) {
+    aLink.Pull(SharedState::kConfig);
+  }
+  if (mEvacuationPull.ShouldPull(now, mState.EvacuationsRevision(), aEvacuations, near)) {
+    aLink.Pull(SharedState::kEvacuations);
+  }
+}
+
+} // namespace mustardwinch
