--- a/tools/soak/SoakNode.cpp
+++ b/tools/soak/SoakNode.cpp
@@ -52,6 +52,8 @@
        << "platform: " << mPlace.store.ToString() << "\n"
        << "stop_grace_s: " << std::chrono::duration_cast<Seconds>(PromiseBounds{}.grace).count()
        << "\n"
+       << "rates:\n"
+       << "  slack: " << PromiseBounds{}.rateSlack << "\n"
        << "log_lines_per_s: " << 1'000 + mReloads << "\n";
   file.close();
   return file.good() && std::rename(fresh.c_str(), path.c_str()) == 0;
