--- a/tests/soak/PromiseJudgeTest.cpp
+++ b/tests/soak/PromiseJudgeTest.cpp
@@ -255,6 +255,29 @@
 
 TEST_CASE_FIXTURE(JudgeFixture, "PromiseJudge, process ends by itself, is broken")
 {
-  judge.OnBadExit(2, 139, now);
+  judge.OnExit(2, 139, now);
+  CHECK(IsBroken("own end"));
+}
+
+TEST_CASE_FIXTURE(JudgeFixture, "PromiseJudge, stopped while it was loaded, may end by the signal")
+{
+  judge.OnNodeStart(2, now);
+  judge.OnStopSignal(2, now + Milliseconds(17)); // as in seed 2007
+  judge.OnExit(2, 143, now + Milliseconds(38));
+  CHECK(judge.Violations().empty());
+}
+
+TEST_CASE_FIXTURE(JudgeFixture, "PromiseJudge, stopped while it runs, ends by the signal, broken")
+{
+  judge.OnNodeStart(2, now);
+  judge.OnStopSignal(2, now + Seconds(1));
+  judge.OnExit(2, 143, now + Seconds(1));
+  CHECK(IsBroken("own end"));
+}
+
+TEST_CASE_FIXTURE(JudgeFixture, "PromiseJudge, ends by itself without a fault, broken")
+{
+  judge.OnNodeStart(2, now);
+  judge.OnExit(2, 0, now + Seconds(1));
   CHECK(IsBroken("own end"));
 }
--- a/tools/soak/PromiseJudge.cpp
+++ b/tools/soak/PromiseJudge.cpp
@@ -4,6 +4,7 @@
 #include "platform/PlatformNames.h"
 
 #include <algorithm>
+#include <csignal>
 
 namespace mustardwinch::soak {
 namespace {
@@ -16,6 +17,10 @@
 
 constexpr std::size_t kBodyBytes = 3'000; //!< more than one read
 
+/** A program that is still being loaded cannot catch a signal, and has taken no request. */
+constexpr Milliseconds kLoadTime{ 100 };
+constexpr int kEndedByStopSignal = 128 + SIGTERM;
+
 bool IsNotRun(unsigned aStatus)
 {
   return aStatus == 408 || aStatus == 421 || aStatus == 429 || aStatus == 503;
@@ -85,12 +90,19 @@
 void PromiseJudge::OnNodeStart(std::size_t aNode, TimePoint aNow)
 {
   ++mIncarnation[aNode];
+  mStarted[aNode] = aNow;
   mStopSignal.erase(aNode);
   OnNodeFault(aNode, aNow);
 }
 
-void PromiseJudge::OnBadExit(std::size_t aNode, int aCode, TimePoint aNow)
+void PromiseJudge::OnExit(std::size_t aNode, int aCode, TimePoint aNow)
 {
+  const auto stop = mStopSignal.find(aNode);
+  const bool stopped = stop != mStopSignal.end();
+  const bool loading = stopped && stop->second - mStarted[aNode] < kLoadTime;
+  if (stopped && (aCode == 0 || (aCode == kEndedByStopSignal && loading))) {
+    return;
+  }
   Break("own end", "node " + std::to_string(aNode) + " ended with " + std::to_string(aCode), aNow);
 }
 
--- a/tools/soak/PromiseJudge.h
+++ b/tools/soak/PromiseJudge.h
@@ -43,8 +43,8 @@
   void OnStopSignal(std::size_t aNode, TimePoint aNow);
   /** A process of the node runs from now on. */
   void OnNodeStart(std::size_t aNode, TimePoint aNow);
-  /** A process ended that nobody had stopped, or ended badly. */
-  void OnBadExit(std::size_t aNode, int aCode, TimePoint aNow);
+  /** A process ended that nobody had killed. @param aCode of its exit, or 128 and the signal */
+  void OnExit(std::size_t aNode, int aCode, TimePoint aNow);
 
   void OnRate(const std::string& aOrganisation, double aPerSecond, double aBurst);
   void OnKeyWithdrawn(const std::string& aKey, TimePoint aNow);
@@ -97,6 +97,7 @@
   std::map<std::string, Request> mRequests;
   std::map<std::size_t, TimePoint> mNodeFaultUntil;
   std::map<std::size_t, TimePoint> mStopSignal;
+  std::map<std::size_t, TimePoint> mStarted;
   std::map<std::size_t, std::uint64_t> mIncarnation;
   TimePoint mStoreFaultUntil{};
   std::map<std::string, Rate> mRates;
--- a/tools/soak/SoakNode.cpp
+++ b/tools/soak/SoakNode.cpp
@@ -131,9 +131,8 @@
 
 void SoakNode::OnExit(int aCode)
 {
-  const bool expected = mKilled || (mStopAt && aCode == 0);
-  if (!expected) {
-    mJudge.OnBadExit(mPlace.number, aCode, mClock.Now());
+  if (!mKilled) {
+    mJudge.OnExit(mPlace.number, aCode, mClock.Now());
   }
   mJudge.OnNodeFault(mPlace.number, mClock.Now());
   mProcess.reset();
