The view of the fleet is taken once a tick for both kinds of rates, and links know nothing of gates' outcomes

Each of the two desks of rates counted the votes on which VMs are alive ten times a second, with a start time and a span of its own, and one of them logged for both; PeerLink built a gate's refusal, though src/fleet included nothing of src/sidecar before. Now the node makes one RateFleet a tick and logs its change; a link says only whether a lost call may have run, and the node makes the result of it, as it did for lost calls before. In Exchange "nothing is under way" stood four times and is IsIdle(); a refusal from a queue is one condition less.

Ruled out: a shared hash for OrderCost and VmTag, which would change the order of upstreams.

--- a/src/fleet/PeerLink.cpp
+++ b/src/fleet/PeerLink.cpp
@@ -2,8 +2,6 @@
 
 #include "fleet/FleetCodec.h"
 #include "mustardwinch/Event.h"
-#include "mustardwinch/ResultCode.h"
-#include "sidecar/CallOutcome.h"
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -35,15 +33,6 @@
 /** A tick of the loop, a busy peer and the round trip. */
 constexpr Milliseconds kAnswerSlack{ 300 };
 
-/** A call whose body was never sent cannot have run. */
-CallResultMessage NotRun()
-{
-  CallResultMessage result;
-  result.outcome = static_cast<std::uint8_t>(CallOutcome::kRefused);
-  result.reason = static_cast<std::uint32_t>(ResultCode::kLinkDown);
-  return result;
-}
-
 } // namespace
 
 PeerLink::PeerLink(boost::asio::io_context& aLoop,
@@ -373,7 +362,7 @@
   mView.outstanding -=
     std::min<std::uint32_t>(mView.outstanding, static_cast<std::uint32_t>(lost.size()));
   for (const Pending& it : lost) {
-    it.done(it.body.empty() ? std::nullopt : std::optional(NotRun()));
+    it.done(LostCall{ it.body.empty() });
   }
 }
 
--- a/src/fleet/PeerLink.h
+++ b/src/fleet/PeerLink.h
@@ -14,6 +14,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <variant>
 #include <vector>
 
 namespace mustardwinch {
@@ -26,8 +27,14 @@
 class PeerLink : public std::enable_shared_from_this<PeerLink>
 {
 public:
-  /** Nothing if the link was lost after the call was sent: it may have run. */
-  using ResultFn = std::function<void(std::optional<CallResultMessage>)>;
+  /** The link was lost before the gate's word came. */
+  struct LostCall
+  {
+    bool mayHaveRun = true; //!< not if its body was never sent
+  };
+
+  using CallEnd = std::variant<CallResultMessage, LostCall>;
+  using ResultFn = std::function<void(CallEnd)>;
   using VerdictFn = std::function<void(RateVerdict)>;
 
   struct Surroundings
--- a/src/sidecar/Exchange.cpp
+++ b/src/sidecar/Exchange.cpp
@@ -216,7 +216,7 @@
   if (mRefused <= 2 * kMaxRefusals && TryPlace(true, true)) {
     return;
   }
-  if (mAttempts.empty() && !mAsksRepeat) {
+  if (IsIdle()) {
     GiveUp();
   }
 }
--- a/src/sidecar/Exchange.h
+++ b/src/sidecar/Exchange.h
@@ -69,7 +69,10 @@
   bool CanRepeat() const;
   void OnRepeatVerdict(bool aGranted);
 
-  /** Answers the caller unless something is still under way. */
+  /** Nothing is under way: no attempt and no ask for a repeat. */
+  bool IsIdle() const { return mAttempts.empty() && !mAsksRepeat; }
+
+  /** Answers the caller if nothing is under way. */
   void GiveUpIfIdle();
   void GiveUp();
 
--- a/src/sidecar/ExchangeAttempts.cpp
+++ b/src/sidecar/ExchangeAttempts.cpp
@@ -149,7 +149,7 @@
 
 void Exchange::GiveUpIfIdle()
 {
-  if (mAttempts.empty() && !mAsksRepeat) {
+  if (IsIdle()) {
     mWaitedForGate = true;
     GiveUp();
   }
@@ -162,16 +162,13 @@
   if (aResult.reason == ResultCode::kGateQueueFull) {
     mServices.gates.noteFull(aAttempt.vm, aResult.wait);
   }
-  const bool waited = aAttempt.mayWait && mServices.clock.Now() - aAttempt.begin >= kWaitedInQueue;
-  if (waited && !aResult.reached) {
-    GiveUpIfIdle(); // the others are as full, and the time for a second queue is not there
-    return;
-  }
   if (aResult.reached) {
     Repeat();
     return;
   }
-  const bool mayGoOn = mSent == 0 || (mAttempts.empty() && !mAsksRepeat);
+  // After one queue the others are as full, and there is no time for a second one.
+  const bool waited = aAttempt.mayWait && mServices.clock.Now() - aAttempt.begin >= kWaitedInQueue;
+  const bool mayGoOn = !waited && (mSent == 0 || IsIdle());
   if (mayGoOn && Left() > Milliseconds(0)) {
     Place();
   } else {
@@ -203,7 +200,7 @@
     Repeat();
     return;
   }
-  if (!mAttempts.empty() || mAsksRepeat) {
+  if (!IsIdle()) {
     return;
   }
   if (mFailedAnswer) {
--- a/src/sidecar/RateDesk.cpp
+++ b/src/sidecar/RateDesk.cpp
@@ -1,7 +1,5 @@
 #include "sidecar/RateDesk.h"
 
-#include "mustardwinch/Event.h"
-
 #include <algorithm>
 #include <utility>
 
@@ -11,10 +9,6 @@
 /** Ten times a round trip between failure domains on a busy machine. */
 constexpr Milliseconds kAskTimeout{ 120 };
 
-/** VMs that lost power together are back within two seconds of each other. A fleet that started
- *  longer ago has owners, which a new one must wait for. */
-constexpr Milliseconds kRestartSpan{ 4'000 };
-
 } // namespace
 
 RateDesk::RateDesk(Clock& aClock,
@@ -26,10 +20,8 @@
   , mSelf(std::move(aSelf))
   , mLinks(aLinks)
   , mKind(aKind)
-  , mBegan(aClock.Now())
   , mOwner(mSelf, aClock.Now(), aSettings)
 {
-  Tick();
 }
 
 void RateDesk::Serve(const Organisation& aOrganisation,
@@ -97,20 +89,14 @@
   pending->done(aVerdict);
 }
 
+bool RateDesk::SetFleet(const RateFleet& aFleet)
+{
+  return mOwner.SetFleet(mClock.Now(), aFleet.alive, aFleet.known, aFleet.restarted);
+}
+
 void RateDesk::Tick()
 {
   const TimePoint now = mClock.Now();
-  const std::vector<std::string> alive = mLinks.AgreedVms();
-  const std::size_t known = mLinks.All().size() + 1;
-  const TimePoint earliest = now - kRestartSpan;
-  const bool restarted = mBegan >= earliest && mLinks.MostBeganSince(earliest);
-  if (mOwner.SetFleet(now, alive, known, restarted) && mKind == RateKind::kOrganisation) {
-    LogEvent(LogLevel::kInfo,
-             Event::kRateFleetChanged,
-             { { "alive", std::to_string(alive.size()) },
-               { "known", std::to_string(known) },
-               { "restarted", restarted ? "yes" : "no" } });
-  }
   while (!mPending.empty() && now >= mPending.front()->until) {
     Settle(mPending.front(), {});
   }
--- a/src/sidecar/RateDesk.h
+++ b/src/sidecar/RateDesk.h
@@ -4,6 +4,7 @@
 #include "mustardwinch/Clock.h"
 #include "mustardwinch/Organisation.h"
 #include "quota/RateOwner.h"
+#include "sidecar/RateFleet.h"
 
 #include <functional>
 #include <list>
@@ -13,7 +14,7 @@
 
 namespace mustardwinch {
 
-/** Gets tokens of organisations' rates: from this node, from the owner, or from the own part. */
+/** Gets tokens of one kind of rate: from this node, from the owner, or from the own part. */
 class RateDesk
 {
 public:
@@ -38,7 +39,10 @@
    */
   void Serve(const Organisation& aOrganisation, const RateAskMessage& aAsk, const VerdictFn& aDone);
 
-  /** Takes the view of the fleet over and ends asks that got no answer. Several times a second. */
+  /** Takes the view of the fleet over. @return whether owners may have changed */
+  bool SetFleet(const RateFleet& aFleet);
+
+  /** Ends asks that got no answer. Several times a second. */
   void Tick();
 
 private:
@@ -55,7 +59,6 @@
   const std::string mSelf;
   LinkTable& mLinks;
   const RateKind mKind;
-  const TimePoint mBegan;
   RateOwner mOwner;
   std::list<std::shared_ptr<Pending>> mPending;
   std::map<std::string, std::uint32_t> mRepeats; //!< not paid yet, by organisation
--- a/src/sidecar/SidecarNode.cpp
+++ b/src/sidecar/SidecarNode.cpp
@@ -81,6 +81,7 @@
   , mHangup(aLoop, SIGHUP)
   , mTimer(aLoop)
 {
+  UpdateRateFleet();
 }
 
 MemberInfo SidecarNode::Self() const
@@ -276,6 +277,7 @@
 {
   ++mTicks;
   mLinks.Tick();
+  UpdateRateFleet();
   mRates.Tick();
   mRetryRates.Tick();
   mGate.Tick();
--- a/src/sidecar/SidecarNode.h
+++ b/src/sidecar/SidecarNode.h
@@ -65,6 +65,8 @@
   KindWatcher::Handlers EvacuationHandlers();
   KindWatcher::Handlers MemberHandlers();
   void OnStoreReachable(StoredKind aKind, bool aReachable, const std::string& aDetail);
+  /** Tells those that count rates which VMs are alive now. */
+  void UpdateRateFleet();
   void OnPeerState(PeerLink& aLink, std::uint64_t aConfig, std::uint64_t aEvacuations);
   void OnConfig();
   void OnEvacuations();
--- a/src/sidecar/SidecarNodeGates.cpp
+++ b/src/sidecar/SidecarNodeGates.cpp
@@ -13,6 +13,20 @@
 /** A full gate is asked again after half of the expected wait, at least. */
 constexpr Milliseconds kLeastFullTime{ 50 };
 
+GateCallResult ResultOf(CallResultMessage aResult)
+{
+  return FromMessage(std::move(aResult));
+}
+
+GateCallResult ResultOf(PeerLink::LostCall aLost)
+{
+  GateCallResult lost;
+  lost.outcome = aLost.mayHaveRun ? CallOutcome::kFailed : CallOutcome::kRefused;
+  lost.reason = ResultCode::kLinkDown;
+  lost.reached = aLost.mayHaveRun;
+  return lost;
+}
+
 } // namespace
 
 Gate::Surroundings SidecarNode::GateSurroundings()
@@ -122,16 +136,8 @@
 {
   PeerLink* link = mLinks.Find(aVm);
   std::uint64_t id = 0;
-  const auto onResult = [done = std::move(aDone)](std::optional<CallResultMessage> aResult) {
-    if (aResult) {
-      done(FromMessage(std::move(*aResult)));
-      return;
-    }
-    GateCallResult lost;
-    lost.outcome = CallOutcome::kFailed;
-    lost.reason = ResultCode::kLinkDown;
-    lost.reached = true; // it may have been
-    done(std::move(lost));
+  const auto onResult = [done = std::move(aDone)](PeerLink::CallEnd aEnd) {
+    done(std::visit([](auto aOne) { return ResultOf(std::move(aOne)); }, std::move(aEnd)));
   };
   if (link == nullptr || !link->Call(ToMessage(aCall), onResult, id)) {
     return nullptr;
--- a/src/sidecar/SidecarNodeLinks.cpp
+++ b/src/sidecar/SidecarNodeLinks.cpp
@@ -9,6 +9,13 @@
 #include <utility>
 
 namespace mustardwinch {
+namespace {
+
+/** VMs that lost power together are back within two seconds of each other. A fleet that started
+ *  longer ago has owners, which a new one must wait for. */
+constexpr Milliseconds kRestartSpan{ 4'000 };
+
+} // namespace
 
 PeerLink::Surroundings SidecarNode::LinkSurroundings()
 {
@@ -107,6 +114,22 @@
   return status;
 }
 
+void SidecarNode::UpdateRateFleet()
+{
+  const TimePoint earliest = mClock.Now() - kRestartSpan;
+  const RateFleet fleet{ mLinks.AgreedVms(),
+                         mLinks.All().size() + 1,
+                         mBegan >= earliest && mLinks.MostBeganSince(earliest) };
+  if (mRates.SetFleet(fleet)) {
+    LogEvent(LogLevel::kInfo,
+             Event::kRateFleetChanged,
+             { { "alive", std::to_string(fleet.alive.size()) },
+               { "known", std::to_string(fleet.known) },
+               { "restarted", fleet.restarted ? "yes" : "no" } });
+  }
+  mRetryRates.SetFleet(fleet);
+}
+
 /** A peer that is ahead hands its state over. */
 void SidecarNode::OnPeerState(PeerLink& aLink, std::uint64_t aConfig, std::uint64_t aEvacuations)
 {
