RateOwner's tests ask in turn through one function of the fixture

Bounds, numbers of asks and gaps are as they were.

Before and after: 12 passed.

Conclusion: shorter, nothing loosened.

--- a/tests/quota/RateOwnerTest.cpp
+++ b/tests/quota/RateOwnerTest.cpp
@@ -74,6 +74,18 @@
     }
   }
 
+  /** The nodes ask in turn, one after each gap. @return how many asks were refused */
+  int Refused(int aAsks, Milliseconds aGap)
+  {
+    int refused = 0;
+    for (int i = 0; i < aAsks; ++i) {
+      now += aGap;
+      Tick();
+      refused += Ask(vms[static_cast<std::size_t>(i) % vms.size()]) ? 0 : 1;
+    }
+    return refused;
+  }
+
   /** Time in which nobody asks. */
   void Pass(Duration aTime)
   {
@@ -207,13 +219,7 @@
 TEST_CASE_FIXTURE(RateFixture, "RateOwner, demand inside the rate, nothing is refused")
 {
   Pass(Seconds(5));
-  int refused = 0;
-  for (int i = 0; i < 400; ++i) {
-    now += Milliseconds(25);
-    Tick();
-    refused += Ask(vms[static_cast<std::size_t>(i) % vms.size()]) ? 0 : 1;
-  }
-  CHECK(refused == 0);
+  CHECK(Refused(400, Milliseconds(25)) == 0);
 }
 
 TEST_CASE("RateOwner, parts of many nodes, add up to the burst though each is below one token")
@@ -245,13 +251,7 @@
     nodes[it] = MakeNode(it);
   }
   SetLive(vms);
-  int refused = 0;
-  for (int i = 0; i < 12; ++i) { // 4 a second through all nodes
-    now += Milliseconds(250);
-    Tick();
-    refused += Ask(vms[static_cast<std::size_t>(i) % vms.size()]) ? 0 : 1;
-  }
-  CHECK(refused == 0);
+  CHECK(Refused(12, Milliseconds(250)) == 0); // 4 a second through all nodes
 }
 
 TEST_CASE_FIXTURE(RateFixture,
@@ -298,13 +298,7 @@
     nodes[it]->SetFleet(now, vms, 2 * vms.size());
     Ask(it);
   }
-  int refused = 0;
-  for (int i = 0; i < 120; ++i) { // 40 a second through all nodes
-    now += Milliseconds(25);
-    Tick();
-    refused += Ask(vms[static_cast<std::size_t>(i) % vms.size()]) ? 0 : 1;
-  }
-  CHECK(refused <= 2); // the bucket begins empty
+  CHECK(Refused(120, Milliseconds(25)) <= 2); // 40 a second; the bucket begins empty
 }
 
 TEST_CASE_FIXTURE(RateFixture,
