Strict revocation: keys count only while the configuration is confirmed

Now a node knows the time as of which its configuration was the newest: the request time of a store answer that may not lag, or what a peer tells, counted from this node's own question. Ruled out: heartbeats as carriers (an answer on its way through a frozen path looks new), full wait of an empty watch as confirmation (the store may cut it short).

--- a/deploy/node.yaml.tpl
+++ b/deploy/node.yaml.tpl
@@ -19,3 +19,8 @@
   bound_slack: {{bounds.coldSlack}}
 rates:
   slack: {{bounds.quotaSlack}}
+{{#bounds.revokeMs}}
+revocation:
+  strict: {{bounds.strictRevocation}}
+  bound_ms: {{bounds.revokeMs}}
+{{/bounds.revokeMs}}
--- a/src/fleet/FleetMessage.h
+++ b/src/fleet/FleetMessage.h
@@ -27,6 +27,8 @@
   kAlive,      //!< answer to a probe or heartbeat if the gate's state has not changed
   kBodyWanted, //!< the gate has a place for a call whose body has not been sent
   kCallBody,
+  kCurrencyAsk,
+  kCurrencyReply,
 };
 
 /** Kinds of state that nodes hand each other. */
@@ -204,6 +206,22 @@
   MSGPACK_DEFINE(ask, kind, waitMs)
 };
 
+/** Asks a peer when its configuration was last known to be the newest. */
+struct CurrencyAskMessage
+{
+  std::uint64_t ask = 0;
+  MSGPACK_DEFINE(ask)
+};
+
+struct CurrencyReplyMessage
+{
+  std::uint64_t ask = 0;
+  std::uint64_t configVersion = 0;
+  bool confirmed = false;
+  std::uint32_t ageMs = 0; //!< since the version was known to be the newest
+  MSGPACK_DEFINE(ask, configVersion, confirmed, ageMs)
+};
+
 struct StatePullMessage
 {
   std::uint8_t state = 0; //!< SharedState
--- a/src/fleet/FleetServer.cpp
+++ b/src/fleet/FleetServer.cpp
@@ -129,6 +129,12 @@
       const StatePushMessage push = mHandlers.state(static_cast<SharedState>(pull->state));
       aPeer->connection->Send(EncodeFleetMessage(FleetMessage::kStatePush, push));
     }
+  } else if (kind == FleetMessage::kCurrencyAsk) {
+    if (const auto ask = DecodeFleetMessage<CurrencyAskMessage>(rest)) {
+      CurrencyReplyMessage reply = mHandlers.currency();
+      reply.ask = ask->ask;
+      aPeer->connection->Send(EncodeFleetMessage(FleetMessage::kCurrencyReply, reply));
+    }
   } else {
     LogEvent(LogLevel::kWarn, Event::kFrameRejected, { { "vm", aPeer->vm } });
     aPeer->connection->Close();
--- a/src/fleet/FleetServer.h
+++ b/src/fleet/FleetServer.h
@@ -36,6 +36,8 @@
     std::function<void(const RateAskMessage&, std::function<void(RateVerdict)>)> takeRate;
     std::function<StatePushMessage(SharedState)> state;
     std::function<GateStatusMessage()> status;
+    /** How current this node's configuration is. */
+    std::function<CurrencyReplyMessage()> currency;
   };
 
   FleetServer(boost::asio::io_context& aLoop, Handlers aHandlers);
--- a/src/fleet/PeerLink.cpp
+++ b/src/fleet/PeerLink.cpp
@@ -230,6 +230,30 @@
   return true;
 }
 
+void PeerLink::AskCurrency()
+{
+  if (!IsUp()) {
+    return;
+  }
+  mCurrencyAsk = mNext++;
+  mCurrencyAsked = mClock.Now();
+  const CurrencyAskMessage ask{ mCurrencyAsk };
+  mConnection->Send(EncodeFleetMessage(FleetMessage::kCurrencyAsk, ask));
+}
+
+/** The peer answered after the request was sent, so its age counts from then: how long the reply
+ * was on its way is not known. */
+void PeerLink::OnCurrency(const CurrencyReplyMessage& aReply)
+{
+  if (aReply.ask == 0 || aReply.ask != mCurrencyAsk) {
+    return;
+  }
+  mCurrencyAsk = 0;
+  if (aReply.confirmed) {
+    mSurroundings.onCurrency(aReply.configVersion, mCurrencyAsked - Milliseconds(aReply.ageMs));
+  }
+}
+
 void PeerLink::Pull(SharedState aState)
 {
   if (IsUp()) {
@@ -271,6 +295,10 @@
       ask.mapped()(
         { static_cast<RateVerdict::Kind>(verdict->kind), Milliseconds(verdict->waitMs), {} });
     }
+  } else if (kind == FleetMessage::kCurrencyReply) {
+    if (const auto reply = DecodeFleetMessage<CurrencyReplyMessage>(rest)) {
+      OnCurrency(*reply);
+    }
   } else if (kind == FleetMessage::kStatePush) {
     if (const auto state = DecodeFleetMessage<StatePushMessage>(rest)) {
       mSurroundings.onState(*state);
--- a/src/fleet/PeerLink.h
+++ b/src/fleet/PeerLink.h
@@ -44,6 +44,8 @@
     /** The peer has told which configuration it has. */
     std::function<void(PeerLink&, const GateStatusMessage&)> onStatus;
     std::function<void(const StatePushMessage&)> onState;
+    /** The peer's configuration was the newest one at aAsOf. */
+    std::function<void(std::uint64_t aVersion, TimePoint aAsOf)> onCurrency;
   };
 
   PeerLink(boost::asio::io_context& aLoop,
@@ -65,6 +67,9 @@
   /** Asks for a token; false if there is no connection that is trusted. */
   bool AskRate(RateAskMessage aAsk, VerdictFn aDone);
 
+  /** Asks how current the peer's configuration is; the latest request counts. */
+  void AskCurrency();
+
   void Pull(SharedState aState);
 
   /** Sends a heartbeat now, for example because the configuration has changed. */
@@ -108,6 +113,7 @@
   void OnResult(CallResultMessage aResult);
   void OnBodyWanted(std::uint64_t aCall);
   void OnStatus(const GateStatusMessage& aStatus);
+  void OnCurrency(const CurrencyReplyMessage& aReply);
   void OnOtherNode(const std::string& aVm);
   void OnClosed(const std::shared_ptr<FrameConnection>& aConnection);
   void Suspect();
@@ -130,6 +136,8 @@
   TimePoint mDialled{}; //!< when the latest dial began
   TimePoint mDownSince{};
   TimePoint mBegan{};
+  TimePoint mCurrencyAsked{};     //!< when the latest request was sent
+  std::uint64_t mCurrencyAsk = 0; //!< number of that request; 0 once it is answered
   std::uint64_t mNext = 1;
   std::uint64_t mDial = 0; //!< number of the latest dial
   bool mDialling = false;
--- a/src/quota/RateOwner.cpp
+++ b/src/quota/RateOwner.cpp
@@ -79,6 +79,15 @@
     }));
 }
 
+void SortByRank(const std::string& aTask, std::vector<std::string>& aVms)
+{
+  const XXH64_hash_t seed = XXH64(aTask.data(), aTask.size(), 0);
+  const auto score = [seed](const std::string& aVm) { return XXH64(aVm.data(), aVm.size(), seed); };
+  std::sort(aVms.begin(), aVms.end(), [&](const std::string& aOne, const std::string& aTwo) {
+    return score(aOne) > score(aTwo);
+  });
+}
+
 RateOwner::RateOwner(std::string aSelf, TimePoint aStart, const RateSettings& aSettings)
   : mSelf(std::move(aSelf))
   , mStart(aStart)
--- a/src/quota/RateOwner.h
+++ b/src/quota/RateOwner.h
@@ -36,6 +36,9 @@
                     const std::vector<std::string>& aLiveVms,
                     const std::string& aVm);
 
+/** Sorts VMs by their rank for a task, the first in rank first. */
+void SortByRank(const std::string& aTask, std::vector<std::string>& aVms);
+
 /**
  * Enforces the rates of the organisations that this node owns for the whole fleet, and holds this
  * node's local share of every organisation's rate for the time in which no owner answers.
--- a/src/sidecar/Exchange.cpp
+++ b/src/sidecar/Exchange.cpp
@@ -98,8 +98,12 @@
     return false;
   }
   const std::string key(HeaderValue(mRequest.headers, mServices.names.key));
-  mOrganisation = key.empty() ? nullptr : mRouting->FindOrganisationByKey(key);
   const bool keyed = !mRouting->Config().organisations.empty() && !mRoute->allowAnonymous;
+  if (keyed && !key.empty() && !mServices.mayAcceptKeys()) {
+    Fail(503, "configuration-unconfirmed", kDefaultRetryAfter);
+    return false;
+  }
+  mOrganisation = key.empty() ? nullptr : mRouting->FindOrganisationByKey(key);
   if (keyed && mOrganisation == nullptr) {
     Fail(401, key.empty() ? "key-missing" : "key-unknown", Milliseconds(0));
     return false;
--- a/src/sidecar/IngressServices.h
+++ b/src/sidecar/IngressServices.h
@@ -26,6 +26,7 @@
   std::string failureDomain;
   std::function<std::string()> callerService; //!< service of the upstream beside the node
   std::function<std::shared_ptr<const RoutingTable>()> routing; //!< null: no configuration yet
+  std::function<bool()> mayAcceptKeys; //!< false: a key may have been withdrawn unnoticed
   GateDirectory gates;
   std::function<void(const Organisation&, std::function<void(RateVerdict)>)> acquireRateToken;
   std::function<void(const std::string& aOrganisation)> onRetry;
--- a/src/sidecar/SidecarNode.cpp
+++ b/src/sidecar/SidecarNode.cpp
@@ -32,12 +32,6 @@
  * own entry is written. */
 constexpr Milliseconds kMemberWatchGap{ 2'500 };
 
-// One node of each failure domain polls the store often and informs the others, so that a large
-// configuration is fetched within the domain.
-constexpr std::size_t kWatchersPerDomain = 1;
-constexpr Milliseconds kWatcherWait{ 1'300 };
-constexpr Milliseconds kNonWatcherWait{ 30'000 };
-
 } // namespace
 
 SidecarNode::SidecarNode(boost::asio::io_context& aLoop,
@@ -49,6 +43,7 @@
   , mBinding(std::move(aBinding))
   , mReload(std::move(aReload))
   , mState(mBinding, { [this] { OnConfig(); }, [this] { OnEvacuations(); } })
+  , mKeys(mSettings.revocation)
   , mGate(aLoop, mClock, mBinding.names, mSettings.cold, MakeGateDelegate())
   , mLinks(aLoop, mClock, Self(), MakeLinkCallbacks())
   , mServer(aLoop, MakeServerHandlers())
@@ -56,9 +51,18 @@
   , mRetryRates(mClock, mSettings.vmName, mLinks, RateKind::kRetries, {})
   , mIngress(MakeIngressServices())
   , mRegistrar(aLoop, mClock, mBinding.store, Self(), mLinks, [this] { mMemberWatcher.SkipGap(); })
-  , mConfigWatcher(aLoop, mBinding.store, StoredKind::kConfig, ConfigHandlers())
-  , mEvacuationWatcher(aLoop, mBinding.store, StoredKind::kEvacuations, EvacuationHandlers())
-  , mMemberWatcher(aLoop, mBinding.store, StoredKind::kMembers, MemberHandlers(), kMemberWatchGap)
+  , mConfigWatcher(aLoop, mClock, mBinding.store, StoredKind::kConfig, ConfigHandlers())
+  , mEvacuationWatcher(aLoop,
+                       mClock,
+                       mBinding.store,
+                       StoredKind::kEvacuations,
+                       EvacuationHandlers())
+  , mMemberWatcher(aLoop,
+                   mClock,
+                   mBinding.store,
+                   StoredKind::kMembers,
+                   MemberHandlers(),
+                   kMemberWatchGap)
   , mCallers(aLoop,
              mClock,
              [this](const std::shared_ptr<HttpSession>& aSession, HttpRequest aRequest) {
@@ -101,6 +105,9 @@
   if (!listening) {
     return false;
   }
+  if (mKeys.IsStrict()) {
+    mConfigWatcher.RequireNewestFirstList();
+  }
   mConfigWatcher.Start();
   mEvacuationWatcher.Start();
   mMemberWatcher.Start();
@@ -120,83 +127,6 @@
   return true;
 }
 
-// ---- store
-
-KindWatcher::Handlers SidecarNode::ConfigHandlers()
-{
-  const auto offer = [this](const StoredObject& aObject) {
-    if (!aObject.removed && aObject.name == mBinding.configName) {
-      mState.ApplyConfigIfNewer(aObject.spec, "store");
-    }
-  };
-  return { [offer](const std::vector<StoredObject>& aObjects, std::uint64_t) {
-            std::for_each(aObjects.begin(), aObjects.end(), offer);
-          },
-           [offer](const StoredObject& aObject, std::uint64_t) { offer(aObject); },
-           [this](bool aReachable, const std::string& aDetail) {
-             OnStoreReachable(StoredKind::kConfig, aReachable, aDetail);
-           } };
-}
-
-KindWatcher::Handlers SidecarNode::EvacuationHandlers()
-{
-  return { [this](const std::vector<StoredObject>& aObjects, std::uint64_t aRevision) {
-            std::set<std::string> domains;
-            for (const StoredObject& it : aObjects) {
-              if (!it.removed) {
-                domains.insert(it.name);
-              }
-            }
-            mState.SetEvacuations(std::move(domains), aRevision, "store");
-          },
-           [this](const StoredObject& aObject, std::uint64_t aRevision) {
-             mState.SetEvacuation(aObject.name, !aObject.removed, aRevision);
-           },
-           [this](bool aReachable, const std::string& aDetail) {
-             OnStoreReachable(StoredKind::kEvacuations, aReachable, aDetail);
-           } };
-}
-
-KindWatcher::Handlers SidecarNode::MemberHandlers()
-{
-  return { [this](const std::vector<StoredObject>& aObjects, std::uint64_t) {
-            mRegistrar.OnList(aObjects);
-            if (mMembersKnownSince == TimePoint{}) {
-              mMembersKnownSince = mClock.Now();
-            }
-          },
-           [this](const StoredObject& aObject, std::uint64_t) { mRegistrar.OnChange(aObject); },
-           [this](bool aReachable, const std::string& aDetail) {
-             OnStoreReachable(StoredKind::kMembers, aReachable, aDetail);
-           } };
-}
-
-void SidecarNode::OnStoreReachable(StoredKind aKind, bool aReachable, const std::string& aDetail)
-{
-  constexpr const char* kNames[] = { "config", "evacuations", "members" };
-  mReachable[aKind] = aReachable;
-  LogEvent(aReachable ? LogLevel::kInfo : LogLevel::kWarn,
-           aReachable ? Event::kPlatformBack : Event::kPlatformLost,
-           { { "for", kNames[static_cast<std::size_t>(aKind)] }, { "detail", aDetail } });
-  if (aReachable) { // the store is reachable again, so the other watchers need not wait
-    mConfigWatcher.Wake();
-    mEvacuationWatcher.Wake();
-    mMemberWatcher.Wake();
-  }
-}
-
-void SidecarNode::OnConfig()
-{
-  mCallers.SetLimits(mState.Routing()->Config().limits);
-  mLinks.Announce();
-}
-
-void SidecarNode::OnEvacuations()
-{
-  mGate.OnEvacuation();
-  mLinks.Announce();
-}
-
 // ---- readiness, control, metrics
 
 bool SidecarNode::IsReady() const
@@ -284,6 +214,7 @@
   mRates.Tick();
   mRetryRates.Tick();
   mGate.Tick();
+  ConfirmConfig();
   CheckReadiness();
   if (mTicks % kTicksPerSecond == 0) {
     mRegistrar.Tick();
@@ -323,21 +254,6 @@
   });
 }
 
-void SidecarNode::ConfigureWatchers()
-{
-  std::vector<std::string> near{ mSettings.vmName };
-  for (const auto& [vm, link] : mLinks.All()) {
-    if (link->IsLive() && link->Member().failureDomain == mSettings.failureDomain) {
-      near.push_back(vm);
-    }
-  }
-  const bool watcher = RankFor("watch", near, mSettings.vmName) < kWatchersPerDomain;
-  const Milliseconds wait = watcher ? kWatcherWait : kNonWatcherWait;
-  const Freshness freshness = watcher ? Freshness::kNewest : Freshness::kMayLag;
-  mConfigWatcher.SetWait(wait, freshness);
-  mEvacuationWatcher.SetWait(wait, freshness);
-}
-
 void SidecarNode::AwaitHangup()
 {
   mHangup.async_wait([this](const boost::system::error_code& aError, int) {
@@ -348,8 +264,8 @@
   });
 }
 
-/** Applies the service, the stop grace period and the retry settings; all other settings need a
- * restart. */
+/** Applies the service, the stop grace period, and the retry and revocation settings; all other
+ * settings need a restart. */
 void SidecarNode::Reload()
 {
   const std::optional<SidecarSettings> fresh = mReload();
@@ -359,6 +275,8 @@
   mSettings.service = fresh->service;
   mSettings.stopGrace = fresh->stopGrace;
   mSettings.retries = fresh->retries;
+  mSettings.revocation = fresh->revocation;
+  mKeys.Configure(mSettings.revocation);
   mRetries.clear();
   LogEvent(LogLevel::kInfo,
            Event::kSettingsReloaded,
--- a/src/sidecar/SidecarNode.h
+++ b/src/sidecar/SidecarNode.h
@@ -10,6 +10,7 @@
 #include "sidecar/FleetState.h"
 #include "sidecar/Gate.h"
 #include "sidecar/Ingress.h"
+#include "sidecar/KeyFreshness.h"
 #include "sidecar/PlatformBinding.h"
 #include "sidecar/RateTokenBroker.h"
 #include "sidecar/SidecarSettings.h"
@@ -73,6 +74,12 @@
   void OnConfig();
   void OnEvacuations();
 
+  // Confirmation of the configuration, if revocation is strict.
+  CurrencyReplyMessage Currency() const;
+  void ConfirmConfig();
+  void AskPeersForCurrency();
+  void LogKeyState();
+
   void HandleReadiness(const std::shared_ptr<HttpSession>& aSession, const HttpRequest& aRequest);
   void HandleControl(const std::shared_ptr<HttpSession>& aSession, const HttpRequest& aRequest);
   void HandleMetrics(const std::shared_ptr<HttpSession>& aSession, const HttpRequest& aRequest);
@@ -92,6 +99,7 @@
   const PlatformBinding mBinding;
   const ReloadFn mReload;
   FleetState mState;
+  KeyFreshness mKeys;
   Gate mGate;
   LinkTable mLinks;
   FleetServer mServer;
@@ -113,6 +121,9 @@
   PullDecision mEvacuationPull;
   GateView mOwnView;
   std::map<std::string, NodeRetryBudget> mRetries;
+  TimePoint mNextCurrencyAsk{};
+  std::size_t mCurrencyAsks = 0; //!< requests since the last confirmation; rotates the peers asked
+  bool mKeysAccepted = true;
   std::map<StoredKind, bool> mReachable;
   TimePoint mMembersKnownSince{}; //!< when the members became known; the epoch if they are not
   TimePoint mStopBegin{};
--- a/src/sidecar/SidecarNodeGates.cpp
+++ b/src/sidecar/SidecarNodeGates.cpp
@@ -55,6 +55,7 @@
     mSettings.failureDomain,
     [this] { return mSettings.service; },
     [this] { return mState.Routing(); },
+    [this] { return mKeys.MayAcceptKeys(mClock.Now()); },
     MakeGateDirectory(),
     [this](const Organisation& aOrganisation, RateTokenBroker::VerdictFn aDone) {
       mRates.Acquire(aOrganisation, std::move(aDone));
--- a/src/sidecar/SidecarNodeLinks.cpp
+++ b/src/sidecar/SidecarNodeLinks.cpp
@@ -36,6 +36,11 @@
   callbacks.onStatus = [this](PeerLink& aLink, const GateStatusMessage& aStatus) {
     OnPeerState(aLink, aStatus.configVersion, aStatus.evacuationsRevision);
   };
+  callbacks.onCurrency = [this](std::uint64_t aVersion, TimePoint aAsOf) {
+    if (mState.ConfigVersion() >= aVersion) {
+      mKeys.Confirm(aAsOf);
+    }
+  };
   callbacks.onState = [this](const StatePushMessage& aPush) { mState.ApplyPush(aPush); };
   return callbacks;
 }
@@ -89,6 +94,7 @@
   };
   handlers.state = [this](SharedState aState) { return mState.MakePush(aState); };
   handlers.status = [this] { return Status(); };
+  handlers.currency = [this] { return Currency(); };
   return handlers;
 }
 
--- a/src/sidecar/SidecarSettings.h
+++ b/src/sidecar/SidecarSettings.h
@@ -5,6 +5,7 @@
 #include "quota/RateSettings.h"
 #include "sidecar/ColdSettings.h"
 #include "sidecar/RetrySettings.h"
+#include "sidecar/RevocationSettings.h"
 
 #include <cstdint>
 #include <string>
@@ -29,6 +30,7 @@
   ColdSettings cold;
   RetrySettings retries;
   RateSettings rates;
+  RevocationSettings revocation;
   std::string logLevel = "info";
   std::uint32_t logLinesPerSecond = 200; //!< lines beyond this are dropped and counted
 
--- a/src/sidecar/SidecarSettingsReport.cpp
+++ b/src/sidecar/SidecarSettingsReport.cpp
@@ -12,6 +12,8 @@
 constexpr std::uint32_t kMaxRetryWindowSeconds = 600;
 constexpr double kMaxRetrySlack = 100'000;
 constexpr double kMaxRateSlack = 100'000;
+constexpr std::uint32_t kMinRevocationMs = 500;
+constexpr std::uint32_t kMaxRevocationMs = 3'600'000;
 constexpr double kMaxColdFactor = 10;
 constexpr double kMaxColdSlack = 10'000;
 
@@ -59,6 +61,15 @@
   aReader.Finish();
 }
 
+void ReadRevocation(SpecReader aReader, RevocationSettings& aSettings)
+{
+  auto bound = static_cast<std::uint32_t>(aSettings.bound.count());
+  aReader.Bool("strict", Presence::kOptional, aSettings.strict);
+  aReader.Unsigned("bound_ms", Presence::kOptional, kMinRevocationMs, kMaxRevocationMs, bound);
+  aSettings.bound = Milliseconds(bound);
+  aReader.Finish();
+}
+
 SidecarSettings ReadFields(const nlohmann::json& aValue, std::vector<FieldProblem>& aProblems)
 {
   SidecarSettings settings;
@@ -74,6 +85,7 @@
   ReadCold(reader.Section("cold", Presence::kOptional), settings.cold);
   ReadRetries(reader.Section("retries", Presence::kOptional), settings.retries);
   ReadRates(reader.Section("rates", Presence::kOptional), settings.rates);
+  ReadRevocation(reader.Section("revocation", Presence::kOptional), settings.revocation);
   reader.Text("log_level", Presence::kOptional, kLogLevelRule, settings.logLevel);
   reader.Unsigned(
     "log_lines_per_s", Presence::kOptional, 1, kMaxLogLines, settings.logLinesPerSecond);
--- a/src/store/KindWatcher.cpp
+++ b/src/store/KindWatcher.cpp
@@ -20,11 +20,13 @@
 } // namespace
 
 KindWatcher::KindWatcher(boost::asio::io_context& aLoop,
+                         Clock& aClock,
                          const ObjectStore& aStore,
                          StoredKind aKind,
                          Handlers aHandlers,
                          Milliseconds aGap)
-  : mStore(aStore)
+  : mClock(aClock)
+  , mStore(aStore)
   , mKind(aKind)
   , mHandlers(std::move(aHandlers))
   , mGap(aGap)
@@ -54,6 +56,9 @@
   if (mStopped) {
     return;
   }
+  if (mListed.empty()) {
+    mListBegin = mClock.Now();
+  }
   const std::string after = mListed.empty() ? std::string() : mListed.back().name;
   mStore.list(
     mKind, after, mListFreshness, [this](StoreReply aReply) { OnList(std::move(aReply)); });
@@ -75,8 +80,9 @@
   }
   mRevision = aReply.revision;
   mHasList = true;
-  mListFreshness = Freshness::kNewest;
+  const Freshness freshness = std::exchange(mListFreshness, Freshness::kNewest);
   mHandlers.onList(std::exchange(mListed, {}), mRevision);
+  ReportCurrent(mListBegin, freshness);
   WatchAfterGap();
 }
 
@@ -87,12 +93,14 @@
   }
   mWatching = true;
   const std::uint64_t number = ++mWatch;
-  mStore.watch(mKind, mRevision, mWait, mFreshness, [this, number](const StoreReply& aReply) {
-    if (number == mWatch) {
-      mWatching = false;
-      OnWatch(aReply);
-    }
-  });
+  const auto onReply =
+    [this, number, sent = mClock.Now(), freshness = mFreshness](const StoreReply& aReply) {
+      if (number == mWatch) {
+        mWatching = false;
+        OnWatch(aReply, sent, freshness);
+      }
+    };
+  mStore.watch(mKind, mRevision, mWait, mFreshness, onReply);
 }
 
 void KindWatcher::SetWait(Milliseconds aWait, Freshness aFreshness)
@@ -105,7 +113,15 @@
   }
 }
 
-void KindWatcher::OnWatch(const StoreReply& aReply)
+/** The answer is at least as new as the request; how long it was on its way is not known. */
+void KindWatcher::ReportCurrent(TimePoint aAsOf, Freshness aFreshness) const
+{
+  if (mHandlers.onCurrent && aFreshness == Freshness::kNewest) {
+    mHandlers.onCurrent(aAsOf);
+  }
+}
+
+void KindWatcher::OnWatch(const StoreReply& aReply, TimePoint aSent, Freshness aFreshness)
 {
   LogReply("watch", aReply);
   if (aReply.status == StoreStatus::kHistoryGone) {
@@ -122,6 +138,7 @@
     mHandlers.onChange(it, aReply.revision);
   }
   mRevision = std::max(mRevision, aReply.revision);
+  ReportCurrent(aSent, aFreshness);
   WatchAfterGap();
 }
 
--- a/src/store/KindWatcher.h
+++ b/src/store/KindWatcher.h
@@ -28,15 +28,23 @@
     std::function<void(const StoredObject&, std::uint64_t)> onChange;
     /** The store began or ceased to answer. */
     std::function<void(bool aReachable, const std::string& aDetail)> onReachable;
+    /** All changes that the store acknowledged before aAsOf are known. Not called for answers that
+     * may lag. */
+    std::function<void(TimePoint aAsOf)> onCurrent = nullptr;
   };
 
   KindWatcher(boost::asio::io_context& aLoop,
+              Clock& aClock,
               const ObjectStore& aStore,
               StoredKind aKind,
               Handlers aHandlers,
               Milliseconds aGap = Milliseconds(0));
 
   void Start() { List(); }
+
+  /** The first list must be the newest as well. Called before Start(). */
+  void RequireNewestFirstList() { mListFreshness = Freshness::kNewest; }
+
   void Stop() { mStopped = true; }
 
   /**
@@ -56,17 +64,20 @@
   void OnList(StoreReply aReply);
   void Watch();
   void WatchAfterGap();
-  void OnWatch(const StoreReply& aReply);
+  void OnWatch(const StoreReply& aReply, TimePoint aSent, Freshness aFreshness);
+  void ReportCurrent(TimePoint aAsOf, Freshness aFreshness) const;
   void LogReply(const char* aCall, const StoreReply& aReply) const;
   void Pause(const std::string& aDetail);
   void SetReachable(bool aReachable, const std::string& aDetail);
 
+  Clock& mClock;
   const ObjectStore& mStore;
   const StoredKind mKind;
   const Handlers mHandlers;
   const Milliseconds mGap; //!< pause before each watch; changes meanwhile come in one answer
   boost::asio::steady_timer mTimer;
   std::vector<StoredObject> mListed;
+  TimePoint mListBegin{}; //!< when the first page of the current list was requested
   std::uint64_t mRevision = 0;
   std::uint64_t mWatch = 0; //!< number of the latest watch; answers of earlier ones are dropped
   Milliseconds mWait;
--- a/tests/sidecar/SidecarFleet.h
+++ b/tests/sidecar/SidecarFleet.h
@@ -37,7 +37,8 @@
 
   static constexpr int kNodes = 3;
 
-  SidecarFleet()
+  explicit SidecarFleet(const RevocationSettings& aRevocation = {})
+    : revocation(aRevocation)
   {
     REQUIRE(store.IsListening());
     store.Put("config", "main", config);
@@ -79,6 +80,7 @@
     member.settings.control = FreeAddress();
     member.settings.metrics = FreeAddress();
     member.settings.platform = storeAddress;
+    member.settings.revocation = revocation;
     member.upstream = std::make_unique<TestUpstream>(loop, clock, "i-" + number);
     return member;
   }
@@ -92,11 +94,11 @@
   void Boot(Member& aMember)
   {
     aMember.loop = std::make_unique<boost::asio::io_context>(1);
-    aMember.node =
-      std::make_unique<SidecarNode>(*aMember.loop,
-                                    aMember.settings,
-                                    platform::MakePlatformBinding(*aMember.loop, storeAddress),
-                                    [] { return std::optional<SidecarSettings>(); });
+    aMember.node = std::make_unique<SidecarNode>(
+      *aMember.loop,
+      aMember.settings,
+      platform::MakePlatformBinding(*aMember.loop, aMember.settings.platform),
+      [] { return std::optional<SidecarSettings>(); });
     REQUIRE(aMember.node->Start());
   }
 
@@ -193,6 +195,7 @@
     return n;
   }
 
+  const RevocationSettings revocation;
   boost::asio::io_context loop{ 1 };
   Clock clock;
   const Address storeAddress = FreeAddress();
--- a/tests/sidecar/SidecarSettingsTest.cpp
+++ b/tests/sidecar/SidecarSettingsTest.cpp
@@ -26,6 +26,9 @@
   window_s: 10
 rates:
   slack: 20
+revocation:
+  strict: true
+  bound_ms: 4000
 )";
 
   /** Replaces the first occurrence of aOld. */
@@ -44,6 +47,7 @@
   CHECK(report.settings.Value().stopGrace == Seconds(6));
   CHECK(report.settings.Value().retries == RetrySettings{ 0.2, 62, Seconds(10) });
   CHECK(report.settings.Value().rates == RateSettings{ 20 });
+  CHECK(report.settings.Value().revocation == RevocationSettings{ true, Milliseconds(4'000) });
   CHECK(report.settings.Value().link == *Address::Parse("10.0.0.1:7000"));
 }
 
@@ -53,6 +57,7 @@
   Edit("platform: \"10.0.0.9:80\"", "platform: \"nowhere\"");
   Edit("ratio: 0.2", "ratio: 7");
   Edit("region:", "regoin:");
+  Edit("bound_ms: 4000", "bound_ms: 4");
   const auto report = ParseSidecarSettings(text, "node.yaml");
   REQUIRE_FALSE(report.settings.IsOk());
   std::string all;
@@ -61,6 +66,7 @@
   }
   CHECK(all.find("node.yaml:11: field 'platform'") != std::string::npos);
   CHECK(all.find("node.yaml:14: field 'retries.ratio'") != std::string::npos);
+  CHECK(all.find("field 'revocation.bound_ms'") != std::string::npos);
   CHECK(all.find("regoin") != std::string::npos);
 }
 
--- a/tests/sidecar/StoreClientTest.cpp
+++ b/tests/sidecar/StoreClientTest.cpp
@@ -117,6 +117,7 @@
   std::vector<json> seen;
   KindWatcher watcher(
     loop,
+    clock,
     calls,
     StoredKind::kConfig,
     { [&](const std::vector<StoredObject>& aObjects, std::uint64_t) {
@@ -145,6 +146,7 @@
   int lists = 0;
   KindWatcher watcher(
     loop,
+    clock,
     calls,
     StoredKind::kConfig,
     { [&](const std::vector<StoredObject>&, std::uint64_t) { ++lists; },
@@ -166,6 +168,7 @@
   std::vector<std::string> seen;
   KindWatcher watcher(
     loop,
+    clock,
     calls,
     StoredKind::kMembers,
     { [&](const std::vector<StoredObject>&, std::uint64_t) { ++lists; },
@@ -232,7 +235,9 @@
       watches.push_back(aFreshness);
       answerWatch = aDone;
     };
+  Clock clock;
   KindWatcher watcher(loop,
+                      clock,
                       store,
                       StoredKind::kConfig,
                       { [](const auto&, std::uint64_t) {},
@@ -246,3 +251,42 @@
   CHECK(lists == std::vector{ Freshness::kMayLag, Freshness::kNewest });
   CHECK(watches == std::vector{ Freshness::kNewest, Freshness::kNewest });
 }
+
+TEST_CASE(
+  "KindWatcher, answers that may lag and new ones, only new ones confirm, as of the request")
+{
+  boost::asio::io_context loop(1);
+  Clock clock;
+  clock.Pause();
+  ObjectStore store;
+  StoreReply reply;
+  reply.status = StoreStatus::kDone;
+  store.list = [&](StoredKind, const std::string&, Freshness, const auto& aDone) { aDone(reply); };
+  ObjectStore::ReplyFn answerWatch;
+  store.watch = [&](StoredKind, std::uint64_t, Milliseconds, Freshness, const auto& aDone) {
+    answerWatch = aDone;
+  };
+  std::vector<TimePoint> confirmed;
+  KindWatcher watcher(loop,
+                      clock,
+                      store,
+                      StoredKind::kConfig,
+                      { [](const auto&, std::uint64_t) {},
+                        [](const auto&, std::uint64_t) {},
+                        [](bool, const std::string&) {},
+                        [&](TimePoint aAsOf) { confirmed.push_back(aAsOf); } });
+  watcher.Start(); // the first list may lag
+  CHECK(confirmed.empty());
+  const TimePoint sent = clock.Now();
+  clock.Advance(Seconds(2));
+  ObjectStore::ReplyFn answer = answerWatch;
+  answer(reply);
+  CHECK(confirmed == std::vector{ sent });
+  watcher.SetWait(Seconds(30), Freshness::kMayLag);
+  answer = answerWatch;
+  answer(reply); // of the watch that was sent before
+  CHECK(confirmed.size() == 2);
+  answer = answerWatch;
+  answer(reply);
+  CHECK(confirmed.size() == 2);
+}
