Votes on who is alive stay within a failure domain; heartbeats carry numbers only

Each heartbeat held the tags of all VMs that its sender does not hear, to each of 353 peers: while VMs start, restart or are cut, that grows with the cube of their number. Domains of fewer than five VMs keep all voters. A status is sent anew only for what decides rarely changing things; queue and latency travel as numbers with each heartbeat.

--- a/src/fleet/FleetMessage.h
+++ b/src/fleet/FleetMessage.h
@@ -90,12 +90,14 @@
                  ageMs)
 };
 
-/** Load of a gate whose state has not changed. */
+/** Load of a gate whose state has not changed. Sent with each heartbeat, so it holds no text. */
 struct AliveMessage
 {
   std::uint32_t running = 0;
   std::uint32_t grayPercent = 0;
-  MSGPACK_DEFINE(running, grayPercent)
+  std::uint32_t queued = 0;
+  std::uint32_t latencyPercent = 0; //!< latency ratio times 100
+  MSGPACK_DEFINE(running, grayPercent, queued, latencyPercent)
 };
 
 /** A header as it travels between nodes. */
--- a/src/fleet/FleetServer.cpp
+++ b/src/fleet/FleetServer.cpp
@@ -14,16 +14,13 @@
 
 constexpr int kBacklog = 512; //!< all nodes may dial in the same second
 
-constexpr std::uint32_t kLatencyStep = 10; //!< per cent; smaller changes decide nothing
-
-/** Whether a peer need not be told more than the load. */
+/** Whether a peer need not be told more than the load, which an AliveMessage holds. */
 bool SameState(const GateStatusMessage& aOne, const GateStatusMessage& aTwo)
 {
   return aOne.available == aTwo.available && aOne.trust == aTwo.trust && aOne.slots == aTwo.slots &&
-         aOne.queued == aTwo.queued && aOne.configVersion == aTwo.configVersion &&
+         aOne.configVersion == aTwo.configVersion &&
          aOne.evacuationsRevision == aTwo.evacuationsRevision && aOne.leaving == aTwo.leaving &&
-         aOne.service == aTwo.service &&
-         aOne.latencyPercent / kLatencyStep == aTwo.latencyPercent / kLatencyStep;
+         aOne.service == aTwo.service;
 }
 
 } // namespace
@@ -188,7 +185,9 @@
 {
   const GateStatusMessage status = mHandlers.status();
   if (SameState(status, aPeer->told)) {
-    const AliveMessage alive{ status.running, status.grayPercent };
+    const AliveMessage alive{
+      status.running, status.grayPercent, status.queued, status.latencyPercent
+    };
     aPeer->connection->Send(EncodeFleetMessage(FleetMessage::kAlive, alive));
     return;
   }
--- a/src/fleet/LinkTable.cpp
+++ b/src/fleet/LinkTable.cpp
@@ -131,8 +131,33 @@
   return unheard;
 }
 
-std::vector<std::uint32_t> LinkTable::UnheardTags() const
+std::size_t LinkTable::CountInDomain(const std::string& aDomain) const
 {
+  const auto others = std::count_if(mLinks.begin(), mLinks.end(), [&](const auto& aEntry) {
+    return aEntry.second->Member().failureDomain == aDomain;
+  });
+  return static_cast<std::size_t>(others) + (mSelf.failureDomain == aDomain ? 1 : 0);
+}
+
+std::vector<std::string> LinkTable::Voters() const
+{
+  const std::size_t vms = CountInDomain(mSelf.failureDomain);
+  std::vector<std::string> voters;
+  for (const auto& [vm, link] : mLinks) {
+    const bool sameDomain = link->Member().failureDomain == mSelf.failureDomain;
+    if (link->IsLive() && TellsVote(sameDomain, vms)) {
+      voters.push_back(vm);
+    }
+  }
+  return voters;
+}
+
+std::vector<std::uint32_t> LinkTable::UnheardTagsFor(const MemberInfo& aPeer) const
+{
+  const bool sameDomain = aPeer.failureDomain == mSelf.failureDomain;
+  if (!TellsVote(sameDomain, CountInDomain(aPeer.failureDomain))) {
+    return {};
+  }
   std::vector<std::uint32_t> tags;
   for (const std::string& it : UnheardVms()) {
     tags.push_back(VmTag(it));
@@ -172,7 +197,7 @@
 
 std::vector<std::string> LinkTable::AgreedVms() const
 {
-  return AgreeOnAlive(LiveVms(), UnheardVms(), mUnheard);
+  return AgreeOnAlive(LiveVms(), Voters(), UnheardVms(), mUnheard);
 }
 
 } // namespace mustardwinch
--- a/src/fleet/PeerLink.cpp
+++ b/src/fleet/PeerLink.cpp
@@ -180,7 +180,8 @@
     return;
   }
   mLastSent = mClock.Now();
-  std::string heartbeat = EncodeFleetMessage(FleetMessage::kHeartbeat, mSurroundings.heartbeat());
+  std::string heartbeat =
+    EncodeFleetMessage(FleetMessage::kHeartbeat, mSurroundings.heartbeat(mMember));
   if (heartbeat == mLastHeartbeat) {
     mConnection->Send(std::string(1, static_cast<char>(FleetMessage::kProbe)));
     return;
@@ -286,6 +287,8 @@
   } else if (kind == FleetMessage::kAlive) {
     if (const auto alive = DecodeFleetMessage<AliveMessage>(rest)) {
       mView.running = alive->running;
+      mView.queued = alive->queued;
+      mView.latencyRatio = alive->latencyPercent / 100.0;
       mView.grayProbability = alive->grayPercent / 100.0;
     }
   } else if (kind == FleetMessage::kRateVerdict) {
