Voters are 24 VMs of the whole fleet, not those of the own failure domain

Now the same 24 VMs, equally of each failure domain, tell all others whom they do not hear; the list of a heartbeat is empty for all the rest.

--- a/src/fleet/AliveVote.cpp
+++ b/src/fleet/AliveVote.cpp
@@ -1,19 +1,32 @@
 #include "fleet/AliveVote.h"
 
+#include "quota/RateOwner.h"
+
 #include <algorithm>
 
 namespace mustardwinch {
 
 namespace {
 
-/** With fewer VMs in a failure domain, the one that is cut off would have much of the vote. */
-constexpr std::size_t kMinDomainVms = 5;
+/** Voters of the whole fleet. A few that are cut off or restart must not decide. */
+constexpr std::size_t kVoters = 24;
 
 } // namespace
 
-bool TellsVote(bool aSameDomain, std::size_t aPeerDomainVms)
+std::set<std::string> ChooseVoters(const VmsByDomain& aVms)
 {
-  return aSameDomain || aPeerDomainVms < kMinDomainVms;
+  std::set<std::string> voters;
+  if (aVms.empty()) {
+    return voters;
+  }
+  const std::size_t perDomain = (kVoters + aVms.size() - 1) / aVms.size();
+  for (const auto& [domain, vms] : aVms) {
+    std::vector<std::string> ranked = vms;
+    SortByRank("vote", ranked);
+    const std::size_t n = std::min(perDomain, ranked.size());
+    voters.insert(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(n));
+  }
+  return voters;
 }
 
 std::vector<std::string> AgreeOnAlive(const std::vector<std::string>& aHeard,
--- a/src/fleet/AliveVote.h
+++ b/src/fleet/AliveVote.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <cstddef>
 #include <map>
 #include <set>
 #include <string>
@@ -11,16 +10,18 @@
 /** Which VMs each peer that is heard does not hear, as it last told. */
 using UnheardReports = std::map<std::string, std::set<std::string>>;
 
+/** Names of the known VMs, by failure domain. */
+using VmsByDomain = std::map<std::string, std::vector<std::string>>;
+
 /**
- * Whether a node tells a peer which VMs it does not hear, so that the peer counts its vote. Votes
- * stay within a failure domain unless it has few VMs.
+ * The VMs that tell all others whom they do not hear: the same for all nodes that know the same
+ * VMs, about as many of each failure domain.
  *
  * Load pattern: hundreds of VMs, many of which restart or are cut off together. If each told all
- * others, the bytes between failure domains would grow with the cube of the number of VMs.
- *
- * @param aPeerDomainVms number of VMs known in the failure domain of the peer
+ * others, the bytes between failure domains would grow with the cube of the number of VMs. Voters
+ * of one failure domain alone would not do: a VM may be cut off from most of its own domain only.
  */
-bool TellsVote(bool aSameDomain, std::size_t aPeerDomainVms);
+std::set<std::string> ChooseVoters(const VmsByDomain& aVms);
 
 /**
  * The VMs that are taken to be alive, in order of names: those that are heard, and those that most
@@ -30,7 +31,7 @@
  * hears both. If each made the other dead, two nodes would own the same duty at a time.
  *
  * @param aHeard VMs that this node hears, itself among them
- * @param aVoters those of them, itself not among them, that tell this node whom they do not hear
+ * @param aVoters other VMs that it hears and that tell it whom they do not hear
  * @param aUnheard VMs that it knows and does not hear
  */
 std::vector<std::string> AgreeOnAlive(const std::vector<std::string>& aHeard,
--- a/src/fleet/LinkTable.cpp
+++ b/src/fleet/LinkTable.cpp
@@ -28,6 +28,7 @@
   , mSelf(std::move(aSelf))
   , mSurroundings(std::move(aSurroundings))
 {
+  UpdateVoters();
 }
 
 Milliseconds LinkTable::PeriodFor(const MemberInfo& aMember) const
@@ -50,11 +51,16 @@
     const auto link =
       std::make_shared<PeerLink>(mLoop, mClock, aMember, PeriodFor(aMember), mSurroundings);
     mLinks.emplace(aMember.vm, link);
+    UpdateVoters();
     link->Tick();
     return;
   }
   if (aMember.revision >= it->second->Member().revision) {
+    const bool moved = aMember.failureDomain != it->second->Member().failureDomain;
     it->second->SetMember(aMember);
+    if (moved) {
+      UpdateVoters();
+    }
   }
 }
 
@@ -66,6 +72,7 @@
     it->second->Close();
     mLinks.erase(it);
     mUnheard.erase(aVm);
+    UpdateVoters();
   }
 }
 
@@ -131,34 +138,34 @@
   return unheard;
 }
 
-std::size_t LinkTable::CountInDomain(const std::string& aDomain) const
+void LinkTable::UpdateVoters()
 {
-  const auto others = std::count_if(mLinks.begin(), mLinks.end(), [&](const auto& aEntry) {
-    return aEntry.second->Member().failureDomain == aDomain;
-  });
-  return static_cast<std::size_t>(others) + (mSelf.failureDomain == aDomain ? 1 : 0);
+  VmsByDomain vms;
+  vms[mSelf.failureDomain].push_back(mSelf.vm);
+  for (const auto& [vm, link] : mLinks) {
+    vms[link->Member().failureDomain].push_back(vm);
+  }
+  mVoters = ChooseVoters(vms);
 }
 
-std::vector<std::string> LinkTable::Voters() const
+std::vector<std::string> LinkTable::HeardVoters() const
 {
-  const std::size_t vms = CountInDomain(mSelf.failureDomain);
   std::vector<std::string> voters;
-  for (const auto& [vm, link] : mLinks) {
-    const bool sameDomain = link->Member().failureDomain == mSelf.failureDomain;
-    if (link->IsLive() && TellsVote(sameDomain, vms)) {
-      voters.push_back(vm);
+  for (const std::string& it : mVoters) {
+    const PeerLink* link = Find(it);
+    if (link != nullptr && link->IsLive()) {
+      voters.push_back(it);
     }
   }
   return voters;
 }
 
-std::vector<std::uint32_t> LinkTable::UnheardTagsFor(const MemberInfo& aPeer) const
+std::vector<std::uint32_t> LinkTable::UnheardTags() const
 {
-  const bool sameDomain = aPeer.failureDomain == mSelf.failureDomain;
-  if (!TellsVote(sameDomain, CountInDomain(aPeer.failureDomain))) {
-    return {};
-  }
   std::vector<std::uint32_t> tags;
+  if (mVoters.count(mSelf.vm) == 0) {
+    return tags;
+  }
   for (const std::string& it : UnheardVms()) {
     tags.push_back(VmTag(it));
   }
@@ -197,7 +204,7 @@
 
 std::vector<std::string> LinkTable::AgreedVms() const
 {
-  return AgreeOnAlive(LiveVms(), Voters(), UnheardVms(), mUnheard);
+  return AgreeOnAlive(LiveVms(), HeardVoters(), UnheardVms(), mUnheard);
 }
 
 } // namespace mustardwinch
--- a/src/fleet/LinkTable.h
+++ b/src/fleet/LinkTable.h
@@ -45,8 +45,8 @@
   /** VMs that are known and not heard. */
   std::vector<std::string> UnheardVms() const;
 
-  /** Tags of the VMs that are not heard, for a heartbeat to a peer; none if it has other voters. */
-  std::vector<std::uint32_t> UnheardTagsFor(const MemberInfo& aPeer) const;
+  /** Tags of the VMs that are not heard; none if this node is no voter. */
+  std::vector<std::uint32_t> UnheardTags() const;
 
   /** A peer has told the tags of the VMs that it does not hear. */
   void NoteUnheard(const std::string& aVm, const std::vector<std::uint32_t>& aUnheard);
@@ -59,16 +59,15 @@
 
 private:
   Milliseconds PeriodFor(const MemberInfo& aMember) const;
-  std::size_t CountInDomain(const std::string& aDomain) const;
-
-  /** VMs that are heard and tell this node whom they do not hear. */
-  std::vector<std::string> Voters() const;
+  void UpdateVoters();
+  std::vector<std::string> HeardVoters() const;
 
   boost::asio::io_context& mLoop;
   Clock& mClock;
   const MemberInfo mSelf;
   const PeerLink::Surroundings mSurroundings;
   std::map<std::string, std::shared_ptr<PeerLink>> mLinks;
+  std::set<std::string> mVoters; //!< see ChooseVoters()
   UnheardReports mUnheard;
 };
 
--- a/src/fleet/PeerLink.cpp
+++ b/src/fleet/PeerLink.cpp
@@ -180,8 +180,7 @@
     return;
   }
   mLastSent = mClock.Now();
-  std::string heartbeat =
-    EncodeFleetMessage(FleetMessage::kHeartbeat, mSurroundings.heartbeat(mMember));
+  std::string heartbeat = EncodeFleetMessage(FleetMessage::kHeartbeat, mSurroundings.heartbeat());
   if (heartbeat == mLastHeartbeat) {
     mConnection->Send(std::string(1, static_cast<char>(FleetMessage::kProbe)));
     return;
--- a/src/fleet/PeerLink.h
+++ b/src/fleet/PeerLink.h
@@ -40,7 +40,7 @@
   struct Surroundings
   {
     std::function<HelloMessage(const std::string& aVm)> hello;
-    std::function<HeartbeatMessage(const MemberInfo& aPeer)> heartbeat;
+    std::function<HeartbeatMessage()> heartbeat;
     /** The peer has told which configuration it has. */
     std::function<void(PeerLink&, const GateStatusMessage&)> onStatus;
     std::function<void(const StatePushMessage&)> onState;
--- a/src/sidecar/SidecarNodeLinks.cpp
+++ b/src/sidecar/SidecarNodeLinks.cpp
@@ -28,10 +28,10 @@
                          mSettings.service,
                          link != nullptr ? link->LeavingInstance() : std::string() };
   };
-  callbacks.heartbeat = [this](const MemberInfo& aPeer) {
+  callbacks.heartbeat = [this] {
     return HeartbeatMessage{ mState.ConfigVersion(),
                              mState.EvacuationsRevision(),
-                             mLinks.UnheardTagsFor(aPeer) };
+                             mLinks.UnheardTags() };
   };
   callbacks.onStatus = [this](PeerLink& aLink, const GateStatusMessage& aStatus) {
     OnPeerState(aLink, aStatus.configVersion, aStatus.evacuationsRevision);
--- a/tests/fleet/AliveVoteTest.cpp
+++ b/tests/fleet/AliveVoteTest.cpp
@@ -28,8 +28,9 @@
       }
     }
     std::vector<std::string> voters;
+    const std::set<std::string> all = ChooseVoters(Domains());
     for (const std::string& it : heard) {
-      if (it != aNode && Votes(it, aNode)) {
+      if (it != aNode && all.count(it) != 0) {
         voters.push_back(it);
       }
     }
@@ -37,11 +38,13 @@
   }
 
   /** Each VM is in the failure domain of its first letter. */
-  bool Votes(const std::string& aVoter, const std::string& aNode) const
+  VmsByDomain Domains() const
   {
-    const auto inDomain = std::count_if(
-      vms.begin(), vms.end(), [&](const std::string& aVm) { return aVm.front() == aNode.front(); });
-    return TellsVote(aVoter.front() == aNode.front(), static_cast<std::size_t>(inDomain));
+    VmsByDomain domains;
+    for (const std::string& it : vms) {
+      domains[it.substr(0, 1)].push_back(it);
+    }
+    return domains;
   }
 
   bool Hears(const std::string& aOne, const std::string& aTwo) const
@@ -107,12 +110,14 @@
 
 struct DomainsFixture : VoteFixture
 {
+  static constexpr int kVms = 20;
+
   DomainsFixture()
   {
     vms.clear();
     for (const char* domain : { "a", "b", "c" }) {
-      for (const char* number : { "1", "2", "3", "4", "5", "6" }) {
-        vms.push_back(std::string(domain) + number);
+      for (int i = 0; i < kVms; ++i) {
+        vms.push_back(domain + std::to_string(i));
       }
     }
   }
@@ -137,10 +142,14 @@
 
 TEST_CASE_FIXTURE(DomainsFixture, "AgreeOnAlive, a failure domain is lost, all others agree on it")
 {
-  dead = { "b1", "b2", "b3", "b4", "b5", "b6" };
+  for (const std::string& it : vms) {
+    if (it.front() == 'b') {
+      dead.insert(it);
+    }
+  }
   for (const std::string& it : vms) {
     if (dead.count(it) == 0) {
-      CHECK(Alive(it).size() == 12);
+      CHECK(Alive(it).size() == 2 * kVms);
     }
   }
 }
@@ -154,13 +163,44 @@
       }
     }
   }
-  CHECK(Alive("b1").size() == 6);
-  CHECK(Alive("a1").size() == 12);
+  CHECK(Alive("b1").size() == kVms);
+  CHECK(Alive("a1").size() == 2 * kVms);
 }
 
-TEST_CASE("TellsVote, hundreds of VMs, whom a node does not hear stays in its failure domain")
+TEST_CASE_FIXTURE(DomainsFixture,
+                  "AgreeOnAlive, a VM is cut off from most of its own failure domain, it is alive")
 {
-  CHECK(TellsVote(true, 60));
-  CHECK_FALSE(TellsVote(false, 60));
-  CHECK(TellsVote(false, 4)); // too few voters of its own
+  for (const std::string& it : vms) {
+    if (it.front() == 'b' && it != "b1" && it != "b2") {
+      cut.insert({ it, "b1" });
+      cut.insert({ "b1", it });
+    }
+  }
+  for (const std::string& it : vms) {
+    if (it.front() != 'b') {
+      CHECK(Alive(it).size() == 3 * kVms);
+    }
+  }
+  CHECK(Alive("b5").size() == 3 * kVms);
+}
+
+TEST_CASE_FIXTURE(DomainsFixture, "ChooseVoters, hundreds of VMs, few vote and all domains do")
+{
+  VmsByDomain domains;
+  for (const char* domain : { "a", "b", "c", "d", "e", "f" }) {
+    for (int i = 0; i < 59; ++i) {
+      domains[domain].push_back(domain + std::to_string(i));
+    }
+  }
+  const std::set<std::string> voters = ChooseVoters(domains);
+  CHECK(voters.size() == 24);
+  for (const auto& [domain, vms] : domains) {
+    CHECK(std::any_of(voters.begin(), voters.end(), [&domain = domain](const std::string& aVoter) {
+      return aVoter.substr(0, 1) == domain;
+    }));
+  }
+  domains["a"].push_back("a99"); // one more VM changes at most one voter
+  std::set<std::string> after = ChooseVoters(domains);
+  after.insert(voters.begin(), voters.end());
+  CHECK(after.size() <= 25);
 }
