Links wait without a buffer; the watch of members may lag on most nodes

A link now waits for readiness and reads into one buffer of the thread; only the node that polls for its failure domain asks for the newest members. New nodes introduce themselves to all, so the lag does no harm.

--- a/src/fleet/FrameConnection.cpp
+++ b/src/fleet/FrameConnection.cpp
@@ -8,12 +8,17 @@
 #include <boost/asio/write.hpp>
 #include <boost/endian/conversion.hpp>
 
+#include <array>
 #include <utility>
 
 namespace mustardwinch {
 namespace {
 
 constexpr std::size_t kLengthBytes = 4;
+constexpr std::size_t kReadBytes = 16'384;
+
+/** Input buffers above this size are given back when they are empty. */
+constexpr std::size_t kMaxIdleBytes = 1'024;
 
 /** Longest frame: the largest body that callers may send, and its head. */
 constexpr std::size_t kMaxFrameBytes = 80U << 20;
@@ -35,26 +40,44 @@
 {
   mOnFrame = std::move(aOnFrame);
   mOnClose = std::move(aOnClose);
-  Read();
+  boost::system::error_code ec;
+  mSocket.non_blocking(true, ec); // a socket that cannot be set fails its first read
+  AwaitBytes();
 }
 
-void FrameConnection::Read()
+/** Waits without a buffer: a node has hundreds of links, and few of them have bytes at a time. */
+void FrameConnection::AwaitBytes()
 {
-  mSocket.async_read_some(boost::asio::buffer(mChunk),
-                          [hold = OperationHold(shared_from_this())](
-                            const boost::system::error_code& aError, std::size_t aCount) mutable {
-                            const auto self = hold.Take();
-                            self->OnRead(aError, aCount);
-                          });
+  mSocket.async_wait(
+    boost::asio::ip::tcp::socket::wait_read,
+    [hold = OperationHold(shared_from_this())](const boost::system::error_code& aError) mutable {
+      const auto self = hold.Take();
+      if (aError || !self->mOpen) {
+        self->Close();
+      } else {
+        self->Read();
+      }
+    });
 }
 
-void FrameConnection::OnRead(const boost::system::error_code& aError, std::size_t aCount)
+void FrameConnection::Read()
 {
-  if (aError || !mOpen) {
+  thread_local std::array<char, kReadBytes> buf; // the bytes are copied before anyone else reads
+  boost::system::error_code ec;
+  const std::size_t n = mSocket.read_some(boost::asio::buffer(buf), ec);
+  if (ec && ec != boost::asio::error::would_block) {
     Close();
     return;
   }
-  mInput.append(mChunk.data(), aCount);
+  OnBytes({ buf.data(), n });
+  if (mOpen) {
+    AwaitBytes();
+  }
+}
+
+void FrameConnection::OnBytes(std::string_view aBytes)
+{
+  mInput.append(aBytes);
   std::size_t at = 0;
   while (mOpen && mInput.size() - at >= kLengthBytes) {
     const std::size_t length = LengthAt(mInput.data() + at);
@@ -70,8 +93,8 @@
     at += kLengthBytes + length;
   }
   mInput.erase(0, at);
-  if (mOpen) {
-    Read();
+  if (mInput.empty() && mInput.capacity() > kMaxIdleBytes) {
+    mInput = std::string(); // a large frame must not hold its memory for good
   }
 }
 
--- a/src/fleet/FrameConnection.h
+++ b/src/fleet/FrameConnection.h
@@ -2,7 +2,6 @@
 
 #include <boost/asio/ip/tcp.hpp>
 
-#include <array>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -37,15 +36,13 @@
   std::size_t Backlog() const { return mOutput.size(); }
 
 private:
+  void AwaitBytes();
   void Read();
-  void OnRead(const boost::system::error_code& aError, std::size_t aCount);
+  void OnBytes(std::string_view aBytes);
   void Flush();
 
-  static constexpr std::size_t kReadBytes = 16'384;
-
   boost::asio::ip::tcp::socket mSocket;
-  std::array<char, kReadBytes> mChunk{};
-  std::string mInput;
+  std::string mInput; //!< begin of a frame that is not complete
   std::string mOutput;
   FrameFn mOnFrame;
   CloseFn mOnClose;
--- a/src/sidecar/SidecarNodeStore.cpp
+++ b/src/sidecar/SidecarNodeStore.cpp
@@ -108,6 +108,7 @@
   const Milliseconds wait = watcher ? kWatcherWait : kNonWatcherWait;
   const Freshness freshness = watcher ? Freshness::kNewest : Freshness::kMayLag;
   mEvacuationWatcher.SetWait(wait, freshness);
+  mMemberWatcher.SetWait(kNonWatcherWait, freshness);
   if (mKeys.ShouldAskStore(mClock.Now())) {
     mConfigWatcher.SetWait(kConfirmWait, Freshness::kNewest);
   } else if (watcher && mKeys.IsStrict()) {
