One odd value of another writer hides nothing else in a list

Cause: an answer of the store was parsed as a whole and its values copied. A number such as 1e999, bytes that are no text or half a surrogate pair in one entry made the whole list unreadable, so a node stopped following members, configuration and evacuations for as long as the entry stood; an entry nested 100,000 deep overflowed the stack when it was copied (the test process ended by SIGSEGV and hung in the handler), which would end every node that reads the list, again and again. Now ParseUntrustedJson leaves out what is nested beyond 64 levels and, only if the text cannot be parsed, replaces numbers out of range and bytes that are no text. Ports out of range were skipped before already.

--- a/src/sidecar/FleetState.cpp
+++ b/src/sidecar/FleetState.cpp
@@ -1,5 +1,6 @@
 #include "sidecar/FleetState.h"
 
+#include "base/UntrustedJson.h"
 #include "mustardwinch/Event.h"
 
 #include <utility>
@@ -83,7 +84,7 @@
 
 void FleetState::ApplyPush(const StatePushMessage& aPush)
 {
-  const json document = json::parse(aPush.document, nullptr, false);
+  const json document = ParseUntrustedJson(aPush.document);
   if (document.is_discarded()) {
     LogEvent(LogLevel::kWarn, Event::kFrameRejected, { { "for", "state of a peer" } });
     return;
