Answers without end are bounded in bytes, one by one and together

Cause: an upstream in trouble may send bytes without end. Now an exchange reads at most its body limit and 256 KB, the parser may leave 64 KB unread, one answer takes 16 MiB and all unfinished answers of a gate 24 MiB together. Such an answer is a failure that may have run: 502, or a retry if idempotent. Time is bounded by the deadline as before, so trickling bytes end as well.

--- a/src/http/HttpChannel.cpp
+++ b/src/http/HttpChannel.cpp
@@ -23,6 +23,12 @@
 constexpr int kProbeCount = 3;
 constexpr unsigned kUnsentLimitMs = 4'000;
 
+/** Input that the parser may leave for the next read, such as an unfinished line. */
+constexpr std::size_t kMaxUnparsedBytes = 65'536;
+
+/** What a peer may send besides the body: heads, and answers that are dropped. */
+constexpr std::size_t kMaxExtraBytes = 262'144;
+
 void SetOption(int aSocket, int aLevel, int aName, int aValue)
 {
   // A kernel without the option only detects silent peers later.
@@ -60,9 +66,31 @@
   SetOption(fd, IPPROTO_TCP, TCP_NODELAY, 1);
 }
 
-HttpChannel::HttpChannel(boost::asio::io_context& aLoop)
+HttpChannel::HttpChannel(boost::asio::io_context& aLoop, std::shared_ptr<ByteBudget> aBudget)
   : mSocket(aLoop)
+  , mBudget(std::move(aBudget))
+{
+}
+
+/** Counts bytes of the exchange. False if the answer is too long, or all answers together are. */
+bool HttpChannel::TakeBytes(std::size_t aCount)
+{
+  if (mReceived + aCount > mMaxBody + kMaxExtraBytes) {
+    return false;
+  }
+  if (mBudget && !mBudget->TryTake(aCount)) {
+    return false;
+  }
+  mReceived += aCount;
+  return true;
+}
+
+void HttpChannel::ReturnBytes()
 {
+  if (mBudget) {
+    mBudget->Return(mReceived);
+  }
+  mReceived = 0;
 }
 
 void HttpChannel::Connect(const Address& aAddress, ConnectFn aDone)
@@ -113,6 +141,7 @@
 
 void HttpChannel::DropCallbacks()
 {
+  ReturnBytes();
   mAccept = nullptr;
   const DoneFn done = std::exchange(mDone, nullptr); // may hold this channel
 }
@@ -159,8 +188,15 @@
     return;
   }
   mBegun = true;
+  if (!TakeBytes(aCount)) {
+    Finish(http::error::body_limit, false);
+    return;
+  }
   mInput.append(mChunk.data(), aCount);
   Parse();
+  if (mDone && mInput.size() > kMaxUnparsedBytes) {
+    Finish(http::error::body_limit, false);
+  }
   if (mDone) {
     Read();
   }
@@ -205,6 +241,7 @@
   if (!result.reusable) {
     Close();
   }
+  ReturnBytes();
   const DoneFn done = std::move(mDone);
   mDone = nullptr;
   mAccept = nullptr;
@@ -232,6 +269,7 @@
   if (!aReusable) {
     Close();
   }
+  ReturnBytes();
   if (!mDone) {
     return;
   }
--- a/src/http/HttpChannel.h
+++ b/src/http/HttpChannel.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "http/ByteBudget.h"
 #include "http/HttpAnswer.h"
 #include "http/HttpChannelResult.h"
 #include "mustardwinch/Address.h"
@@ -30,7 +31,9 @@
   /** Whether an answer belongs to the exchange; others are read and dropped. */
   using AcceptFn = std::function<bool(const HttpAnswer&)>;
 
-  explicit HttpChannel(boost::asio::io_context& aLoop);
+  /** @param aBudget shared with other channels; an answer that exceeds it fails. Null: no limit */
+  explicit HttpChannel(boost::asio::io_context& aLoop,
+                       std::shared_ptr<ByteBudget> aBudget = nullptr);
 
   void Connect(const Address& aAddress, ConnectFn aDone);
 
@@ -60,17 +63,21 @@
   void Parse();
   void OnAnswer();
   void NewParser();
+  bool TakeBytes(std::size_t aCount);
+  void ReturnBytes();
   void Finish(const boost::system::error_code& aError, bool aReusable);
   HttpAnswer TakeAnswer(std::optional<Milliseconds>& aIdleLimit);
 
   static constexpr std::size_t kReadBytes = 8'192;
 
   boost::asio::ip::tcp::socket mSocket;
+  const std::shared_ptr<ByteBudget> mBudget;
   std::array<char, kReadBytes> mChunk{};
   std::string mInput;
   std::optional<Parser> mParser;
   std::size_t mMaxBody = 0;
   bool mHead = false;
+  std::size_t mReceived = 0; //!< bytes read in this exchange, taken from mBudget
   AcceptFn mAccept;
   DoneFn mDone;
   bool mOpen = false;
--- a/src/sidecar/Gate.cpp
+++ b/src/sidecar/Gate.cpp
@@ -24,6 +24,9 @@
 constexpr double kTargetWaitShare = 0.4;
 constexpr Milliseconds kMinQueueTime{ 150 };
 
+/** A complete answer is copied a few times on its way to the caller, on VMs of 160 MB. */
+constexpr std::size_t kMaxAnswersBytes = 24U << 20;
+
 } // namespace
 
 Gate::Gate(boost::asio::io_context& aLoop,
@@ -36,6 +39,7 @@
   , mNames(std::move(aNames))
   , mCold(aCold)
   , mDelegate(std::move(aDelegate))
+  , mAnswerBytes(std::make_shared<ByteBudget>(kMaxAnswersBytes))
   , mSmoothedAnswerMs(kInitialAnswerMs)
 {
 }
--- a/src/sidecar/Gate.h
+++ b/src/sidecar/Gate.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "health/LatencyHistograms.h"
+#include "http/ByteBudget.h"
 #include "http/HttpChannel.h"
 #include "mustardwinch/Clock.h"
 #include "placement/StartRateLimit.h"
@@ -152,6 +153,7 @@
   WaitingQueue mQueue;
   std::map<Ticket, QueuedCall> mQueuedCalls;
   std::map<Ticket, ActivePtr> mRunning;
+  std::shared_ptr<ByteBudget> mAnswerBytes;        //!< of the answers that are not complete
   std::vector<std::shared_ptr<HttpChannel>> mPool; //!< idle connections, most recently used last
   LatencyHistograms mLatencies{ "mw_gate_answer_seconds" };
   TimePoint mDownUntil{};   //!< no connection is attempted until then, after a failed one
--- a/src/sidecar/GateActiveCalls.cpp
+++ b/src/sidecar/GateActiveCalls.cpp
@@ -25,7 +25,8 @@
 constexpr double kIdleLimitShare = 0.7;
 
 constexpr std::size_t kMaxPooled = 16;
-constexpr std::size_t kMaxAnswerBytes = 64U << 20;
+constexpr std::size_t kMaxAnswerBytes = 16U << 20;
+
 /** Weight of the newest answer in the smoothed answer time. */
 constexpr double kAnswerTimeWeight = 0.1;
 
@@ -136,7 +137,7 @@
 void Gate::Connect(Ticket aTicket, const ActivePtr& aActive)
 {
   aActive->pooled = false;
-  aActive->channel = std::make_shared<HttpChannel>(mLoop);
+  aActive->channel = std::make_shared<HttpChannel>(mLoop, mAnswerBytes);
   auto limit = std::make_shared<boost::asio::steady_timer>(mLoop, kConnectTimeout);
   limit->async_wait([aActive, limit](const boost::system::error_code& aError) {
     if (!aError && !aActive->sent) {
