The first watches of configuration and evacuations may lag

Within a second the node that polls asks for the newest state, and the others hear of it from peers. The watch of members stays at full price at the start: two nodes that listed at the same moment know each other only by it.

--- a/src/sidecar/SidecarNode.cpp
+++ b/src/sidecar/SidecarNode.cpp
@@ -105,12 +105,7 @@
   if (!listening) {
     return false;
   }
-  if (mKeys.IsStrict()) {
-    mConfigWatcher.RequireNewestFirstList();
-  }
-  mConfigWatcher.Start();
-  mEvacuationWatcher.Start();
-  mMemberWatcher.Start();
+  StartWatchers();
   mStopSignals.async_wait([this](const boost::system::error_code& aError, int) {
     if (!aError) {
       Stop();
--- a/src/sidecar/SidecarNode.h
+++ b/src/sidecar/SidecarNode.h
@@ -86,6 +86,7 @@
   bool IsReady() const;
   void Tick();
   void CheckReadiness();
+  void StartWatchers();
   void ConfigureWatchers();
   void AwaitHangup();
   void Reload();
--- a/src/sidecar/SidecarNodeStore.cpp
+++ b/src/sidecar/SidecarNodeStore.cpp
@@ -96,6 +96,21 @@
   mLinks.Announce();
 }
 
+/** Until the links are up, each node would take itself for the one that polls for its failure
+ * domain, and a fleet that starts would ask the store for the newest state from all nodes at once.
+ */
+void SidecarNode::StartWatchers()
+{
+  mConfigWatcher.SetWait(kNonWatcherWait, Freshness::kMayLag);
+  mEvacuationWatcher.SetWait(kNonWatcherWait, Freshness::kMayLag);
+  if (mKeys.IsStrict()) {
+    mConfigWatcher.RequireNewestFirstList();
+  }
+  mConfigWatcher.Start();
+  mEvacuationWatcher.Start();
+  mMemberWatcher.Start();
+}
+
 void SidecarNode::ConfigureWatchers()
 {
   std::vector<std::string> near{ mSettings.vmName };
