Traffic splits: shares hold over many nodes, bad lists are rejected

Cause: every node began each route at the same position of the split, so with hundreds of nodes and a few requests a node the first requests of all nodes went to the same service: with weights 90 and 10 the small one got none of the first seven of each node. Each node now begins at a random position.

Test: 300 nodes with 3 requests each (none of 900 went to the small service before: the positions are .618, .236, .854), weights 0 and 1, single entry, bad lists.

--- a/src/sidecar/Exchange.cpp
+++ b/src/sidecar/Exchange.cpp
@@ -3,7 +3,6 @@
 #include "http/HttpText.h"
 #include "ingress/ForwardHeaders.h"
 #include "mustardwinch/Event.h"
-#include "sidecar/TrafficSplit.h"
 
 #include <algorithm>
 #include <array>
@@ -111,7 +110,7 @@
   const auto callerTimeout =
     ParseMilliseconds(HeaderValue(mRequest.headers, mServices.names.remaining));
   mDeadline = mStartTime + std::min(mRoute->timeout, callerTimeout.value_or(mRoute->timeout));
-  mService = ChooseTarget(*mRoute, mIngress.mSplitPosition[mRoute->name]);
+  mService = mIngress.ChooseTargetOf(*mRoute);
   mPlacement.service = mService;
   mPlacement.bodyBytes = mRequest.body.size() + mIngress.ExpectedAnswerBytes(mRoute->name);
   mPlacement.randomBits = mIngress.mRandom();
--- a/src/sidecar/Ingress.cpp
+++ b/src/sidecar/Ingress.cpp
@@ -1,6 +1,7 @@
 #include "sidecar/Ingress.h"
 
 #include "sidecar/Exchange.h"
+#include "sidecar/TrafficSplit.h"
 
 #include <utility>
 
@@ -29,6 +30,15 @@
   }
 }
 
+const std::string& Ingress::ChooseTargetOf(const TrafficRoute& aRoute)
+{
+  auto it = mSplitPosition.find(aRoute.name);
+  if (it == mSplitPosition.end()) {
+    it = mSplitPosition.emplace(aRoute.name, InitialSplitPosition(mRandom())).first;
+  }
+  return ChooseTarget(aRoute, it->second);
+}
+
 std::size_t Ingress::ExpectedAnswerBytes(const std::string& aRoute) const
 {
   const auto it = mAnswerBytes.find(aRoute);
--- a/src/sidecar/Ingress.h
+++ b/src/sidecar/Ingress.h
@@ -40,6 +40,8 @@
 private:
   friend class Exchange;
 
+  const std::string& ChooseTargetOf(const TrafficRoute& aRoute);
+
   /** Exponentially smoothed body size of a route's answers. */
   std::size_t ExpectedAnswerBytes(const std::string& aRoute) const;
   void RecordAnswerBytes(const std::string& aRoute, std::size_t aBytes);
--- a/src/sidecar/TrafficSplit.cpp
+++ b/src/sidecar/TrafficSplit.cpp
@@ -7,6 +7,12 @@
 
 } // namespace
 
+double InitialSplitPosition(std::uint64_t aRandomBits)
+{
+  constexpr std::uint64_t kRange = 1U << 20;
+  return static_cast<double>(aRandomBits % kRange) / static_cast<double>(kRange);
+}
+
 const std::string& ChooseTarget(const TrafficRoute& aRoute, double& aPosition)
 {
   aPosition += kGoldenStep;
--- a/tests/adapter/ConfigDecoderTest.cpp
+++ b/tests/adapter/ConfigDecoderTest.cpp
@@ -89,3 +89,26 @@
   CHECK_FALSE(platform::DecodeConfig(json()).IsOk());
   CHECK_FALSE(platform::DecodeConfig(json::array()).IsOk());
 }
+
+TEST_CASE_FIXTURE(ConfigFixture, "DecodeConfig, traffic split that cannot hold, is rejected")
+{
+  const auto decode = [this](const json& aSplit) {
+    json changed = spec;
+    changed["listeners"][0]["rules"][1]["action"]["trafficSplit"] = aSplit;
+    return platform::DecodeConfig(changed).IsOk();
+  };
+  const auto entry = [](const json& aService, const json& aWeight) {
+    return json{ { "service", aService }, { "weight", aWeight } };
+  };
+  CHECK(decode(json::array({ entry("one", 1) })));
+  CHECK(decode({ entry("one", 0), entry("two", 1) }));
+  CHECK_FALSE(decode(json::array()));
+  CHECK_FALSE(decode("one"));
+  CHECK_FALSE(decode({ entry("one", 0), entry("two", 0) }));
+  for (const json& weight : { json(-1), json(0.5), json("1"), json(nullptr), json(1e18) }) {
+    CHECK_FALSE(decode({ entry("one", weight), entry("two", 1) }));
+  }
+  json both = spec;
+  both["listeners"][0]["rules"][1]["action"]["service"] = "one";
+  CHECK_FALSE(platform::DecodeConfig(both).IsOk());
+}
--- a/tests/routing/RoutingTableTest.cpp
+++ b/tests/routing/RoutingTableTest.cpp
@@ -5,6 +5,7 @@
 #include <doctest/doctest.h>
 
 #include <map>
+#include <random>
 
 using namespace mustardwinch;
 
@@ -76,3 +77,32 @@
   CHECK(counts["small"] >= 16);
   CHECK(counts["small"] <= 24);
 }
+
+TEST_CASE(
+  "ChooseTarget, 300 nodes with 3 requests each, shares hold within 4 percent over the fleet")
+{
+  TrafficRoute route;
+  route.targets = { { "big", 90 }, { "small", 10 } };
+  std::mt19937_64 random(7);
+  std::map<std::string, int> counts;
+  for (int node = 0; node < 300; ++node) {
+    double position = InitialSplitPosition(random());
+    for (int i = 0; i < 3; ++i) {
+      counts[ChooseTarget(route, position)] += 1;
+    }
+  }
+  CHECK(counts["small"] >= 54);
+  CHECK(counts["small"] <= 126);
+}
+
+TEST_CASE("ChooseTarget, weights 0 and 1 and a single entry, only the others receive requests")
+{
+  TrafficRoute route;
+  route.targets = { { "none", 0 }, { "all", 1 } };
+  double position = 0;
+  for (int i = 0; i < 100; ++i) {
+    CHECK(ChooseTarget(route, position) == "all");
+  }
+  route.targets = { { "only", 1 } };
+  CHECK(ChooseTarget(route, position) == "only");
+}
