Voters are chosen once for a list of members, not for each entry

Cause: seen when the change was read again: each entry of a list of 354 members sorted all known VMs of six failure domains anew, some 4,000 hashes each, worked out to tens of milliseconds of a core at each start on VMs with a tenth of one. Now a flag is set, and the next tick, within 100 ms, chooses once. Ruled out: doing it in the look-up, which is const and runs for each heartbeat.

--- a/src/fleet/LinkTable.cpp
+++ b/src/fleet/LinkTable.cpp
@@ -28,7 +28,6 @@
   , mSelf(std::move(aSelf))
   , mSurroundings(std::move(aSurroundings))
 {
-  UpdateVoters();
 }
 
 Milliseconds LinkTable::PeriodFor(const MemberInfo& aMember) const
@@ -51,16 +50,14 @@
     const auto link =
       std::make_shared<PeerLink>(mLoop, mClock, aMember, PeriodFor(aMember), mSurroundings);
     mLinks.emplace(aMember.vm, link);
-    UpdateVoters();
+    mVotersOutdated = true;
     link->Tick();
     return;
   }
   if (aMember.revision >= it->second->Member().revision) {
     const bool moved = aMember.failureDomain != it->second->Member().failureDomain;
     it->second->SetMember(aMember);
-    if (moved) {
-      UpdateVoters();
-    }
+    mVotersOutdated = mVotersOutdated || moved;
   }
 }
 
@@ -72,7 +69,7 @@
     it->second->Close();
     mLinks.erase(it);
     mUnheard.erase(aVm);
-    UpdateVoters();
+    mVotersOutdated = true;
   }
 }
 
@@ -96,6 +93,7 @@
 
 void LinkTable::Tick()
 {
+  UpdateVoters();
   for (const auto& [vm, link] : mLinks) {
     link->SetHeartbeatPeriod(PeriodFor(link->Member()));
     link->Tick();
@@ -140,6 +138,10 @@
 
 void LinkTable::UpdateVoters()
 {
+  if (!mVotersOutdated) {
+    return;
+  }
+  mVotersOutdated = false;
   VmsByDomain vms;
   vms[mSelf.failureDomain].push_back(mSelf.vm);
   for (const auto& [vm, link] : mLinks) {
--- a/src/fleet/LinkTable.h
+++ b/src/fleet/LinkTable.h
@@ -68,6 +68,7 @@
   const PeerLink::Surroundings mSurroundings;
   std::map<std::string, std::shared_ptr<PeerLink>> mLinks;
   std::set<std::string> mVoters; //!< see ChooseVoters()
+  bool mVotersOutdated = true;   //!< brought up to date by Tick(), once for a whole list of members
   UnheardReports mUnheard;
 };
 
