A malformed configuration does not confirm the older one that stays in effect

Cause: found in the last read of the change. With strict revocation a configuration that cannot be decoded was left out, but the answer that brought it still confirmed the older configuration, so a key that the newer one withdraws was accepted without end, and peers took the confirmation over. Now an answer confirms only if the last configuration offered could be decoded.

Test: three nodes answered 200 where 503 is due before, and refuse now; served again with the next valid version.

--- a/src/sidecar/FleetState.cpp
+++ b/src/sidecar/FleetState.cpp
@@ -30,6 +30,7 @@
 void FleetState::ApplyConfigIfNewer(const json& aSpec, const char* aFrom)
 {
   auto config = mBinding.decodeConfig(aSpec);
+  mLastConfigRejected = !config;
   if (!config) {
     LogEvent(LogLevel::kError,
              Event::kResourceRejected,
--- a/src/sidecar/FleetState.h
+++ b/src/sidecar/FleetState.h
@@ -47,6 +47,9 @@
 
   std::shared_ptr<const RoutingTable> Routing() const { return mRouting; }
   std::uint64_t ConfigVersion() const { return mRouting ? mRouting->Config().version : 0; }
+
+  /** The last configuration that was offered is malformed, so a newer one may not be in effect. */
+  bool LastConfigRejected() const { return mLastConfigRejected; }
   std::uint64_t EvacuationsRevision() const { return mEvacuationsRevision; }
   bool IsEvacuated(const std::string& aDomain) const { return mEvacuated.count(aDomain) != 0; }
 
@@ -55,6 +58,7 @@
   const Handlers mHandlers;
   std::shared_ptr<const RoutingTable> mRouting;
   std::string mConfigDocument; //!< the configuration in the format of the store, sent to peers
+  bool mLastConfigRejected = false;
   std::set<std::string> mEvacuated;
   std::uint64_t mEvacuationsRevision = 0;
 };
--- a/src/sidecar/SidecarNodeStore.cpp
+++ b/src/sidecar/SidecarNodeStore.cpp
@@ -34,7 +34,11 @@
            [this](bool aReachable, const std::string& aDetail) {
              OnStoreReachable(StoredKind::kConfig, aReachable, aDetail);
            },
-           [this](TimePoint aAsOf) { mKeys.Confirm(aAsOf); } };
+           [this](TimePoint aAsOf) {
+             if (!mState.LastConfigRejected()) {
+               mKeys.Confirm(aAsOf);
+             }
+           } };
 }
 
 KindWatcher::Handlers SidecarNode::EvacuationHandlers()
--- a/tests/sidecar/StrictRevocationTest.cpp
+++ b/tests/sidecar/StrictRevocationTest.cpp
@@ -73,6 +73,25 @@
   CHECK(RunUntil([&] { return Call(2, "GET", "/safe/x", "k-new").status == 200; }, Seconds(2)));
 }
 
+TEST_CASE_FIXTURE(
+  StrictSidecarFleet,
+  "Strict revocation, newest configuration is malformed, the older one accepts no keys")
+{
+  nlohmann::json malformed = config;
+  malformed["version"] = "r9";
+  malformed["tenants"][0]["apiKeys"] = "k-new";
+  store.Put("config", "main", malformed);
+  Wait(kBound + kBound / 2);
+  const std::size_t runs = ReceivedRequests();
+  for (std::size_t i = 0; i < members.size(); ++i) {
+    CHECK(Call(i, "GET", "/safe/x").status == 503);
+  }
+  CHECK(ReceivedRequests() == runs);
+  config["version"] = "r10";
+  store.Put("config", "main", config);
+  CHECK(RunUntil([&] { return Call(0, "GET", "/safe/x").status == 200; }, Seconds(4)));
+}
+
 TEST_CASE_FIXTURE(StrictSidecarFleet,
                   "Strict revocation, node restarts without the store, accepts no key of a peer")
 {
