--- a/review/common/kit.h
+++ b/review/common/kit.h
@@ -393,13 +393,25 @@
       Reader reader(aFd);
       Message request;
       while (reader.Read(request)) {
-        if (!SendAll(aFd, Answer(request))) {
+        AwaitVoice();
+        const std::string answer = Answer(request);
+        AwaitVoice();
+        if (!SendAll(aFd, answer)) {
           return;
         }
       }
     });
   }
 
+  /** While it is silent, calls get no answer, those that wait included. They get it when it is
+   * back. */
+  void SetSilent(bool aSilent)
+  {
+    const std::lock_guard<std::mutex> lock(mMutex);
+    mSilent = aSilent;
+    mChanged.notify_all();
+  }
+
   /** A write of the operator. */
   void Put(const std::string& aKind, const std::string& aName, const json& aSpec)
   {
@@ -433,6 +445,12 @@
       aStatus, aStatus < 300 ? "OK" : "No", "Content-Type: application/json\r\n", aBody.dump());
   }
 
+  void AwaitVoice()
+  {
+    std::unique_lock<std::mutex> lock(mMutex);
+    mChanged.wait(lock, [this] { return !mSilent; });
+  }
+
   /** Under the lock. */
   json Write(const std::string& aKind,
              const std::string& aName,
@@ -537,6 +555,7 @@
 
   std::mutex mMutex;
   std::condition_variable mChanged;
+  bool mSilent = false;
   std::uint64_t mRevision = 1;
   std::map<std::string, std::map<std::string, json>> mKinds;
   std::vector<Event> mHistory;
@@ -659,6 +678,16 @@
     gRecord.Say("machine %s: the process has ended", aMachine.name.c_str());
   }
 
+  /** SIGKILL, as by a loss of power. */
+  void KillNode(const Machine& aMachine)
+  {
+    const pid_t pid = mPids[aMachine.name];
+    ::kill(pid, SIGKILL);
+    ::waitpid(pid, nullptr, 0);
+    mPids.erase(aMachine.name);
+    gRecord.Line("machine %s: SIGKILL", aMachine.name.c_str());
+  }
+
   bool IsReady(const Machine& aMachine) const
   {
     return Call(aMachine.Readiness(), "GET", "/api/ready", "Host: x\r\n", "", 1.0).Status() == 200;
@@ -848,9 +877,16 @@
                  { "version", "v1" },
                  { "zone", mMachine.zone },
                  { "slots", kSlots } } },
-             { "status", { { "state", mState }, { "seq", mSequence }, { "warmupLeftMs", 0 } } } };
+             { "status",
+               { { "state", mState },
+                 { "seq", mSequence },
+                 { "warmupLeftMs",
+                   std::max<std::int64_t>(0, mColdMs == 0 ? 0 : mBorn + mColdMs - UnixMs()) } } } };
   }
 
+  /** Cold for this long after its start, as its announcements say. */
+  void SetCold(int aMs) { mColdMs = aMs; }
+
   const std::string& Id() const { return mId; }
   const Machine& Where() const { return mMachine; }
   std::int64_t Born() const { return mBorn; }
@@ -882,6 +918,7 @@
   AfterFn after;
 
   static constexpr int kSlots = 7;
+  static constexpr double kColdFactor = 2; //!< a cold back end works this many times as long
   static constexpr int kQueue = 3;
 
 private:
@@ -922,7 +959,7 @@
     } else {
       mArrivals.Add({ Now(), id, mId, true });
       gRecord.Line("back end %s: request %s arrives and runs", mId.c_str(), id.c_str());
-      Sleep(mWork);
+      Sleep(UnixMs() < mBorn + mColdMs ? kColdFactor * mWork : mWork);
       ReturnSlot();
       answer = Form(200, id, SignedHeaders(id), "done " + id + "\n");
     }
@@ -964,6 +1001,7 @@
   std::atomic<bool> mEnded{ true };
   std::string mState = "ready";
   std::int64_t mBorn = 0;
+  int mColdMs = 0;
   std::uint64_t mSequence = 0;
   std::mutex mMutex;
   std::condition_variable mFree;
