--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -26,9 +26,14 @@
   }
   const Machine one = deployment.Add("sidecar-a-1", "zone-a", "booking");
   const Machine two = deployment.Add("sidecar-b-1", "zone-b", "portal");
-  store.Put("config",
-            "main",
-            Config("shop.example", "key-3fexd9dnn2ctnfzs", { "booking", "portal" }, "unsafe"));
+  json config = Config("shop.example", "key-3fexd9dnn2ctnfzs", { "booking", "portal" }, "unsafe");
+  json& rules = config["listeners"][0]["rules"];
+  json patient = rules[0]; // the same service with another figure of the operator's
+  patient["name"] = "r-booking-patient";
+  patient["match"]["pathPrefix"] = "/booking-patient/";
+  patient["action"]["maxAttempts"] = 3;
+  rules.push_back(patient);
+  store.Put("config", "main", config);
   deployment.StartNode(one);
   deployment.StartNode(two);
 
@@ -70,8 +75,11 @@
   }
   Sleep(3);
 
-  Load load({ one, two }, "shop.example", "POST", "/booking/new", "key-3fexd9dnn2ctnfzs");
-  load.Start(kPerSecond, kConsumers, kTimeoutMs);
+  const std::string key = "key-3fexd9dnn2ctnfzs";
+  Load two_attempts({ one, two }, "shop.example", "POST", "/booking/new", key, "m2");
+  Load three_attempts({ one, two }, "shop.example", "POST", "/booking-patient/new", key, "m3");
+  two_attempts.Start(kPerSecond / 2, kConsumers / 2, kTimeoutMs);
+  three_attempts.Start(kPerSecond / 2, kConsumers / 2, kTimeoutMs);
   Sleep(4);
   gRecord.Say("late copies begin");
   extra = trouble;
@@ -79,7 +87,8 @@
   extra = false;
   gRecord.Say("late copies end, %d came", copies.load());
   Sleep(2);
-  load.Stop();
+  two_attempts.Stop();
+  three_attempts.Stop();
   Sleep(2); // a run may still follow
 
   std::map<std::string, int> runs;
@@ -89,7 +98,10 @@
   int answered = 0;
   int refused = 0;
   int broken = 0;
-  for (const Sent& it : load.All()) {
+  std::vector<Sent> sent = two_attempts.All();
+  const std::vector<Sent> more = three_attempts.All();
+  sent.insert(sent.end(), more.begin(), more.end());
+  for (const Sent& it : sent) {
     answered += it.status == 200 ? 1 : 0;
     const bool promise =
       it.status == 429 || it.status == 503 || it.status == 408 || it.status == 421;
@@ -107,7 +119,7 @@
     }
   }
   gRecord.Say("%zu requests, %d served, %d refused, %d broke the rule",
-              load.All().size(),
+              sent.size(),
               answered,
               refused,
               broken);
--- a/review/common/kit.h
+++ b/review/common/kit.h
@@ -678,6 +678,8 @@
     gRecord.Say("machine %s: the process has ended", aMachine.name.c_str());
   }
 
+  pid_t PidOf(const Machine& aMachine) const { return mPids.at(aMachine.name); }
+
   /** SIGKILL, as by a loss of power. */
   void KillNode(const Machine& aMachine)
   {
@@ -1029,12 +1031,14 @@
        std::string aHost,
        std::string aMethod,
        std::string aPath,
-       std::string aKey)
+       std::string aKey,
+       std::string aTag = "c")
     : mFrom(std::move(aFrom))
     , mHost(std::move(aHost))
     , mMethod(std::move(aMethod))
     , mPath(std::move(aPath))
     , mKey(std::move(aKey))
+    , mTag(std::move(aTag))
   {
   }
 
@@ -1081,7 +1085,7 @@
         reader = std::make_unique<Reader>(fd);
       }
       char id[64];
-      std::snprintf(id, sizeof(id), "c%03d-%05d", aNumber, n);
+      std::snprintf(id, sizeof(id), "%s-%03d-%05d", mTag.c_str(), aNumber, n);
       Sent sent;
       sent.at = Now();
       sent.id = id;
@@ -1122,6 +1126,7 @@
   const std::string mMethod;
   const std::string mPath;
   const std::string mKey;
+  const std::string mTag; //!< begins the ids of the requests
   std::atomic<bool> mRunning{ false };
   std::vector<std::thread> mThreads;
   mutable std::mutex mMutex;
