--- a/review/common/kit.h
+++ b/review/common/kit.h
@@ -208,8 +208,8 @@
   {
   }
 
-  /** False at the end, an error or the time limit (seconds). Partial input is kept. */
-  bool Read(Message& aMessage, double aLimit = 3600)
+  /** Reads a head and leaves the body. False at the end, an error or the time limit (seconds). */
+  bool ReadHead(Message& aMessage, double aLimit = 3600)
   {
     const double until = Now() + aLimit;
     std::size_t end = std::string::npos;
@@ -234,14 +234,25 @@
       }
       aMessage.headers[name] = value <= line.size() ? line.substr(value) : "";
     }
+    mInput.erase(0, end + 4);
+    return true;
+  }
+
+  /** Reads a whole message. False as with ReadHead(). */
+  bool Read(Message& aMessage, double aLimit = 3600)
+  {
+    const double until = Now() + aLimit;
+    if (!ReadHead(aMessage, aLimit)) {
+      return false;
+    }
     const std::size_t length = std::strtoul(aMessage.Header("content-length").c_str(), nullptr, 10);
-    while (mInput.size() < end + 4 + length) {
+    while (mInput.size() < length) {
       if (!More(until)) {
         return false;
       }
     }
-    aMessage.body = mInput.substr(end + 4, length);
-    mInput.erase(0, end + 4 + length);
+    aMessage.body = mInput.substr(0, length);
+    mInput.erase(0, length);
     return true;
   }
 
@@ -915,6 +926,11 @@
     return "X-Response-Signature: sig-" + aRequestId + "\r\n";
   }
 
+  /** Answers a request whose head has been read, but not its body. The connection is closed then.
+   */
+  using EarlyFn = std::function<void(Backend&, int aFd, const Message& aHead)>;
+
+  EarlyFn early;
   BeforeFn before;
   RejectFn reject;
   AfterFn after;
@@ -928,6 +944,13 @@
   {
     Reader reader(aFd);
     Message request;
+    if (early) {
+      if (reader.ReadHead(request)) {
+        mArrivals.Add({ Now(), request.Header("x-request-id"), mId, true });
+        early(*this, aFd, request);
+      }
+      return;
+    }
     while (!mEnded && reader.Read(request)) {
       if (!Handle(aFd, request)) {
         return;
