--- a/review/build.sh
+++ b/review/build.sh
@@ -8,7 +8,7 @@
 for source in review/[0-9]*/case.cpp; do
   [ -e "$source" ] || continue
   name=$(basename "$(dirname "$source")")
-  g++ -std=c++20 -O1 -pthread -Wall -Wextra -Ireview/common "$source" -o "target/review/case-$name" &
+  g++ -std=c++20 -O1 -pthread -Wall -Wextra -Ireview "$source" -o "target/review/case-$name" &
   pids+=($!)
 done
 for pid in "${pids[@]}"; do
