A repeat of a request never uses a connection that answered it before

Cause: answers on a connection are told apart by the request id alone, which does not tell two sendings of one request apart. After a rejection the gate put the connection back into the pool and took it again for the repeat, so a late copy of the rejection was taken for the answer to the repeat.

Ruled out: copies of answers to other requests, which are dropped by their id; copies that come while the connection is idle or with the answer before them, which close it.

Fix: a pooled connection remembers the requests that it answered and that may be repeated, until their deadline, and does not carry them again. A rejection without an id is only believed on a connection that carried nothing before.

--- a/src/http/HttpChannel.h
+++ b/src/http/HttpChannel.h
@@ -4,7 +4,6 @@
 #include "http/HttpAnswer.h"
 #include "http/HttpChannelResult.h"
 #include "mustardwinch/Address.h"
-#include "mustardwinch/Clock.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -50,11 +49,6 @@
   /** The event loop has ended: nobody will be called any more. */
   void DropCallbacks();
 
-  /** When the last exchange ended. */
-  TimePoint idleSince{};
-  /** When an idle connection must no longer be used. */
-  TimePoint idleUntil{};
-
 private:
   using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
 
--- a/src/sidecar/Gate.h
+++ b/src/sidecar/Gate.h
@@ -7,6 +7,7 @@
 #include "placement/StartRateLimit.h"
 #include "placement/UpstreamHealth.h"
 #include "placement/WaitingQueue.h"
+#include "sidecar/AnsweredRequests.h"
 #include "sidecar/ColdSettings.h"
 #include "sidecar/GateCall.h"
 #include "sidecar/GateCallResult.h"
@@ -108,6 +109,7 @@
     TimePoint begin{};
     TimePoint deadline{};
     std::shared_ptr<HttpChannel> channel; //!< null once the answer has arrived
+    AnsweredRequests answered;            //!< earlier requests on the channel
     std::unique_ptr<boost::asio::steady_timer> timer;
     bool pooled = false;
     bool sent = false;
@@ -116,6 +118,15 @@
     bool cancelled = false;
   };
 
+  /** An idle connection to the upstream. */
+  struct PooledConnection
+  {
+    std::shared_ptr<HttpChannel> channel;
+    AnsweredRequests answered;
+    TimePoint idleSince{}; //!< when the last exchange ended
+    TimePoint idleUntil{}; //!< it must not be used later
+  };
+
   using ActivePtr = std::shared_ptr<ActiveCall>;
 
   std::optional<ResultCode> RefusalReason(const GateCall& aCall) const;
@@ -137,7 +148,10 @@
   void Finish(Ticket aTicket, const ActivePtr& aActive, GateCallResult aResult);
   void StartQueued();
   Duration StallThreshold(const GateCall& aCall) const;
-  std::shared_ptr<HttpChannel> TakePooled(bool aIdempotent);
+  bool TakePooled(ActiveCall& aActive);
+  void ReleaseChannel(ActiveCall& aActive,
+                      const HttpChannelResult& aResult,
+                      const GateCallResult& aOutcome);
   void ClosePool();
   void OnUpstreamChange(UpstreamState::Change aChange);
   void PublishStatusIfChanged();
@@ -153,8 +167,8 @@
   WaitingQueue mQueue;
   std::map<Ticket, QueuedCall> mQueuedCalls;
   std::map<Ticket, ActivePtr> mRunning;
-  std::shared_ptr<ByteBudget> mAnswerBytes;        //!< of the answers that are not complete
-  std::vector<std::shared_ptr<HttpChannel>> mPool; //!< idle connections, most recently used last
+  std::shared_ptr<ByteBudget> mAnswerBytes; //!< of the answers that are not complete
+  std::vector<PooledConnection> mPool;      //!< most recently used last
   LatencyHistograms mLatencies{ "mw_gate_answer_seconds" };
   TimePoint mDownUntil{};   //!< no connection is attempted until then, after a failed one
   double mSmoothedAnswerMs; //!< exponentially smoothed time of a successful answer
--- a/src/sidecar/GateActiveCalls.cpp
+++ b/src/sidecar/GateActiveCalls.cpp
@@ -27,6 +27,9 @@
 constexpr std::size_t kMaxPooled = 16;
 constexpr std::size_t kMaxAnswerBytes = 16U << 20;
 
+constexpr unsigned kWrongInstance = 421;
+constexpr unsigned kFirstServerError = 500;
+
 /** Weight of the newest answer in the smoothed answer time. */
 constexpr double kAnswerTimeWeight = 0.1;
 
@@ -38,28 +41,53 @@
 
 // Running requests, from the assignment of a slot to the answer.
 
-std::shared_ptr<HttpChannel> Gate::TakePooled(bool aIdempotent)
+bool Gate::TakePooled(ActiveCall& aActive)
 {
   const TimePoint now = mClock.Now();
-  std::erase_if(mPool, [&](const std::shared_ptr<HttpChannel>& aChannel) {
-    if (aChannel->IsOpen() && now < aChannel->idleUntil) {
+  std::erase_if(mPool, [&](const PooledConnection& aConnection) {
+    if (aConnection.channel->IsOpen() && now < aConnection.idleUntil) {
       return false;
     }
-    aChannel->Close();
+    aConnection.channel->Close();
     return true;
   });
-  if (mPool.empty() || (!aIdempotent && now - mPool.back()->idleSince > kMaxIdleForUnsafe)) {
-    return nullptr;
+  const auto it = std::find_if(mPool.rbegin(), mPool.rend(), [&](const auto& aConnection) {
+    return !aConnection.answered.Contains(now, aActive.call.requestId);
+  });
+  if (it == mPool.rend() || (!aActive.call.idempotent && now - it->idleSince > kMaxIdleForUnsafe)) {
+    return false;
+  }
+  aActive.channel = std::move(it->channel);
+  aActive.answered = std::move(it->answered);
+  mPool.erase(std::next(it).base());
+  return true;
+}
+
+/** Puts the connection of a call into the pool, or closes it. */
+void Gate::ReleaseChannel(ActiveCall& aActive,
+                          const HttpChannelResult& aResult,
+                          const GateCallResult& aOutcome)
+{
+  const std::shared_ptr<HttpChannel> channel = std::move(aActive.channel);
+  const TimePoint now = mClock.Now();
+  const bool mayBeRepeated =
+    aOutcome.outcome != CallOutcome::kAnswered || aOutcome.answer.status >= kFirstServerError;
+  const bool remembered =
+    !mayBeRepeated || aActive.answered.Add(now, aActive.call.requestId, aActive.deadline);
+  if (!aResult.reusable || !remembered || mPool.size() >= kMaxPooled) {
+    channel->Close();
+    return;
   }
-  std::shared_ptr<HttpChannel> channel = mPool.back();
-  mPool.pop_back();
-  return channel;
+  const auto limit = aResult.idleLimit
+                       ? std::chrono::duration_cast<Duration>(*aResult.idleLimit * kIdleLimitShare)
+                       : Duration(kDefaultIdleLimit);
+  mPool.push_back({ channel, std::move(aActive.answered), now, now + limit });
 }
 
 void Gate::ClosePool()
 {
-  for (const auto& it : mPool) {
-    it->Close();
+  for (const PooledConnection& it : mPool) {
+    it.channel->Close();
   }
   mPool.clear();
 }
@@ -125,8 +153,7 @@
       aActive->channel->Close();
     }
   });
-  aActive->channel = TakePooled(aActive->call.idempotent);
-  if (aActive->channel) {
+  if (TakePooled(*aActive)) {
     aActive->pooled = true;
     SendRequest(aTicket, aActive);
     return;
@@ -193,23 +220,13 @@
 
 void Gate::OnResponse(Ticket aTicket, const ActivePtr& aActive, HttpChannelResult aResult)
 {
-  const TimePoint now = mClock.Now();
   if (aResult.error && aActive->pooled) {
     ClosePool(); // the other pooled connections are as old
   }
+  GateCallResult outcome = ClassifyResult(aActive, aResult);
   // Release the channel first, because the next request may use it at once.
-  const std::shared_ptr<HttpChannel> channel = std::move(aActive->channel);
-  if (aResult.reusable && mPool.size() < kMaxPooled) {
-    const auto limit =
-      aResult.idleLimit ? std::chrono::duration_cast<Duration>(*aResult.idleLimit * kIdleLimitShare)
-                        : Duration(kDefaultIdleLimit);
-    channel->idleSince = now;
-    channel->idleUntil = now + limit;
-    mPool.push_back(channel);
-  } else {
-    channel->Close();
-  }
-  Finish(aTicket, aActive, ClassifyResult(aActive, aResult));
+  ReleaseChannel(*aActive, aResult, outcome);
+  Finish(aTicket, aActive, std::move(outcome));
 }
 
 GateCallResult Gate::ClassifyResult(const ActivePtr& aActive, HttpChannelResult& aResult)
@@ -257,11 +274,19 @@
   GateCallResult result;
   result.reached = true;
   const bool isSigned = FindHeader(aAnswer.headers, mNames.signature) != nullptr;
-  const bool notRun = FindHeader(aAnswer.headers, mNames.notRun) != nullptr;
-  if (notRun || aAnswer.status == 421) {
+  const bool notRun =
+    FindHeader(aAnswer.headers, mNames.notRun) != nullptr || aAnswer.status == kWrongInstance;
+  if (notRun && aActive->pooled && HeaderValue(aAnswer.headers, mNames.requestId).empty()) {
+    // It may be a late copy of the answer to an earlier request.
+    result.outcome = CallOutcome::kFailed;
+    result.reason = ResultCode::kUpstreamFailed;
+    mHealth.OnHardFailure(now);
+    return result;
+  }
+  if (notRun) {
     result.outcome = CallOutcome::kShed;
     result.reason = ResultCode::kGateShed;
-    if (aAnswer.status == 421) {
+    if (aAnswer.status == kWrongInstance) {
       mState.OnWrongInstance();
       result.outcome = CallOutcome::kRefused; // no upstream started the request
       result.reason = ResultCode::kGateUpstreamUnknown;
@@ -270,7 +295,7 @@
     }
     return result;
   }
-  const bool success = aAnswer.status < 500;
+  const bool success = aAnswer.status < kFirstServerError;
   if (aAnswer.status >= 200 && aAnswer.status < 300 && !isSigned) {
     result.outcome = CallOutcome::kFailed;
     result.reason = ResultCode::kAnswerCut;
