The owner of a rate grants only the shares of VMs that it reaches

Besides, a VM that is cut off sees itself alone alive and so owns every rate; the preferred owner came back with a full bucket (26 in the last half second, 176 in the two seconds after the cut).

Ruled out: two active owners during the cut (all tokens of the majority name one); repeats, which are charged.

Fix: the owner's rate and burst are those of the VMs that it reaches. A node uses its own share only if a new owner has not begun, if most VMs were heard a detection time after the owner fell silent, or if most were not heard for two detection times. Until then it takes advances, which stay within half of the tolerated overrun for all nodes together and are charged to the owner later. An owner that regains contact with most VMs starts over, and one that has not heard them for a detection time grants nothing. New settings rates.overrun and rates.window_ms tell the tolerance.

--- a/deploy/node.yaml.tpl
+++ b/deploy/node.yaml.tpl
@@ -19,6 +19,8 @@
   bound_slack: {{bounds.coldSlack}}
 rates:
   slack: {{bounds.quotaSlack}}
+  overrun: {{bounds.quotaOver}}
+  window_ms: {{bounds.quotaWindowS}}000
 {{#bounds.revokeMs}}
 revocation:
   strict: {{bounds.strictRevocation}}
--- a/src/fleet/LinkTable.cpp
+++ b/src/fleet/LinkTable.cpp
@@ -5,6 +5,7 @@
 #include "mustardwinch/Event.h"
 
 #include <algorithm>
+#include <functional>
 #include <set>
 #include <utility>
 
@@ -14,6 +15,9 @@
 constexpr Milliseconds kNearPeriod{ 500 };
 constexpr Milliseconds kFarPeriod{ 1'200 }; //!< bytes between failure domains are dear
 
+/** Views are brought up to date several times a second; a busy node is late. */
+constexpr Milliseconds kTickSlack{ 200 };
+
 /** Above this many nodes heartbeats get rarer, so that each node sends about as many a second. */
 constexpr std::size_t kUsualNodes = 90;
 
@@ -32,9 +36,13 @@
 
 Milliseconds LinkTable::PeriodFor(const MemberInfo& aMember) const
 {
-  const Milliseconds base = aMember.failureDomain == mSelf.failureDomain ? kNearPeriod : kFarPeriod;
+  return Scaled(aMember.failureDomain == mSelf.failureDomain ? kNearPeriod : kFarPeriod);
+}
+
+Milliseconds LinkTable::Scaled(Milliseconds aPeriod) const
+{
   const std::size_t nodes = std::max(kUsualNodes, mLinks.size());
-  return base * nodes / kUsualNodes;
+  return aPeriod * nodes / kUsualNodes;
 }
 
 void LinkTable::Put(const MemberInfo& aMember)
@@ -204,6 +212,22 @@
   return heard > 0 && 2 * heard >= mLinks.size();
 }
 
+TimePoint LinkTable::MajorityHeard() const
+{
+  std::vector<TimePoint> heard{ mClock.Now() };
+  for (const auto& [vm, link] : mLinks) {
+    heard.push_back(link->LastHeard());
+  }
+  const auto median = heard.begin() + static_cast<std::ptrdiff_t>(heard.size() / 2);
+  std::nth_element(heard.begin(), median, heard.end(), std::greater<>());
+  return *median;
+}
+
+Duration LinkTable::DetectionTime() const
+{
+  return PeerLink::SuspicionTime(Scaled(kFarPeriod)) + kTickSlack;
+}
+
 std::vector<std::string> LinkTable::AgreedVms() const
 {
   return AgreeOnAlive(LiveVms(), HeardVoters(), UnheardVms(), mUnheard);
--- a/src/fleet/LinkTable.h
+++ b/src/fleet/LinkTable.h
@@ -54,10 +54,18 @@
   /** Whether most of the known nodes are heard and all of these have started since aTime. */
   bool MostBeganSince(TimePoint aTime) const;
 
+  /** The latest time since which more than half of the known VMs, this one among them, have been
+   * heard. */
+  TimePoint MajorityHeard() const;
+
+  /** Time in which a node notices that another one has gone silent, and acts on it. */
+  Duration DetectionTime() const;
+
   /** VMs that are taken to be alive, see AgreeOnAlive(). */
   std::vector<std::string> AgreedVms() const;
 
 private:
+  Milliseconds Scaled(Milliseconds aPeriod) const;
   Milliseconds PeriodFor(const MemberInfo& aMember) const;
   void UpdateVoters();
   std::vector<std::string> HeardVoters() const;
--- a/src/fleet/PeerLink.cpp
+++ b/src/fleet/PeerLink.cpp
@@ -82,6 +82,11 @@
   }
 }
 
+Duration PeerLink::SuspicionTime(Milliseconds aPeriod)
+{
+  return aPeriod + kAnswerSlack;
+}
+
 /**
  * A link that is silent for longer than a heartbeat takes gets no requests while there are others;
  * one that stays silent is replaced.
@@ -91,7 +96,7 @@
   const Duration silent = aNow - mLastHeard;
   if (silent > kMissedHeartbeats * mPeriod + kHeartbeatSlack) {
     Suspect();
-  } else if (silent > mPeriod + kAnswerSlack) {
+  } else if (silent > SuspicionTime(mPeriod)) {
     mView.pathSuspected = true;
   }
 }
--- a/src/fleet/PeerLink.h
+++ b/src/fleet/PeerLink.h
@@ -92,6 +92,12 @@
   /** The peer has been heard lately. */
   bool IsLive() const { return IsUp() && mHeard && !mView.pathSuspected; }
 
+  /** When the peer was last heard; the epoch if it never was. */
+  TimePoint LastHeard() const { return mLastHeard; }
+
+  /** A peer that is silent for longer is not live. @param aPeriod of its heartbeats */
+  static Duration SuspicionTime(Milliseconds aPeriod);
+
   /** Since when no connection could be made; the epoch if there is one. */
   TimePoint DownSince() const { return mDownSince; }
   const std::string& LeavingInstance() const { return mLeaving; }
--- a/src/quota/RateOwner.cpp
+++ b/src/quota/RateOwner.cpp
@@ -3,7 +3,6 @@
 #include <xxhash.h>
 
 #include <algorithm>
-#include <cmath>
 #include <utility>
 
 namespace mustardwinch {
@@ -28,10 +27,8 @@
 /** Longer than the window to which the slack applies. */
 constexpr Seconds kSlackRefillInterval{ 10 };
 
-/** A local share that was not used for this long starts over; a takeover is complete by then. */
-constexpr Seconds kLocalShareMaxIdle{ 5 };
-
 const RateVerdict kGranted{ RateVerdict::Kind::kGranted, {}, {} };
+const RateVerdict kNotYet{ RateVerdict::Kind::kNotYet, {}, {} };
 
 RateVerdict TakeFrom(TokenBucket& aBucket, TimePoint aNow, double aRate, double aBurst)
 {
@@ -90,33 +87,30 @@
 
 RateOwner::RateOwner(std::string aSelf, TimePoint aStart, const RateSettings& aSettings)
   : mSelf(std::move(aSelf))
-  , mStart(aStart)
   , mSettings(aSettings)
   , mFleetChanged(aStart)
   , mLastSetFleet(aStart)
-  , mRandom(XXH64(mSelf.data(), mSelf.size(), 0))
 {
 }
 
-bool RateOwner::SetFleet(TimePoint aNow,
-                         std::vector<std::string> aLiveVms,
-                         std::size_t aKnownVms,
-                         bool aRestarted)
+bool RateOwner::SetFleet(TimePoint aNow, const RateFleetView& aFleet)
 {
-  mKnownVms = std::max<std::size_t>(1, aKnownVms);
   const bool suspended = WasSuspended(aNow);
+  // While it had no contact with most VMs there may have been another owner.
+  const bool startsOver = suspended || (IsMinority(mFleet) && !IsMinority(aFleet));
   mLastSetFleet = aNow;
-  const bool restartBegins = aRestarted && !mRestarted;
-  mRestarted = aRestarted;
-  if (aLiveVms == mLiveVms && !suspended && !restartBegins) {
+  const bool restartBegins = aFleet.restarted && !mFleet.restarted;
+  const bool changed = aFleet.alive != mFleet.alive || startsOver || restartBegins;
+  mFleet = aFleet;
+  mFleet.known = std::max<std::size_t>(1, aFleet.known);
+  if (!changed) {
     return false;
   }
-  mLiveVms = std::move(aLiveVms);
   // If all VMs have just started, there is no previous owner to wait for.
-  mFleetChanged = aRestarted && !suspended ? aNow - kTakeoverDelay : aNow;
+  mFleetChanged = aFleet.restarted && !suspended ? aNow - kTakeoverDelay : aNow;
   for (auto& [organisation, entry] : mEntries) {
-    std::string owner = RateOwnerOf(organisation, mLiveVms);
-    if (owner != entry.owner || suspended || entry.ownedSince > mFleetChanged) {
+    std::string owner = RateOwnerOf(organisation, mFleet.alive);
+    if (owner != entry.owner || startsOver || entry.ownedSince > mFleetChanged) {
       entry.ownedSince = mFleetChanged;
       // The nodes use their local shares until then.
       entry.bucket = TokenBucket(mFleetChanged + kTakeoverDelay);
@@ -131,16 +125,27 @@
   return aNow - mLastSetFleet > kMaxTickGap;
 }
 
+/** An owner that is cut off stops before its peers have chosen another one. */
+bool RateOwner::HasMajority(TimePoint aNow) const
+{
+  return !IsMinority(mFleet) && aNow - mFleet.majorityHeard <= mFleet.detection;
+}
+
+double RateOwner::OwnedFraction() const
+{
+  const std::size_t reached = std::clamp<std::size_t>(mFleet.reached, 1, mFleet.known);
+  return static_cast<double>(reached) / static_cast<double>(mFleet.known);
+}
+
 RateOwner::Entry& RateOwner::EntryOf(const std::string& aOrganisation)
 {
   const auto it = mEntries.find(aOrganisation);
   if (it != mEntries.end()) {
     return it->second;
   }
-  Entry entry{ RateOwnerOf(aOrganisation, mLiveVms),
+  Entry entry{ RateOwnerOf(aOrganisation, mFleet.alive),
                mFleetChanged,
-               TokenBucket(mFleetChanged + kTakeoverDelay),
-               TokenBucket(mStart) };
+               TokenBucket(mFleetChanged + kTakeoverDelay) };
   return mEntries.emplace(aOrganisation, std::move(entry)).first->second;
 }
 
@@ -154,17 +159,17 @@
                             std::uint32_t aRetries)
 {
   Entry& entry = EntryOf(aOrganisation.name);
-  const bool minority = 2 * mLiveVms.size() <= mKnownVms && mKnownVms > 1;
   const bool tooEarly = aNow - entry.ownedSince < kTakeoverDelay;
-  if (entry.owner != mSelf || WasSuspended(aNow) || minority) {
+  if (entry.owner != mSelf || WasSuspended(aNow) || !HasMajority(aNow)) {
     return {};
   }
   if (tooEarly) {
-    return TakeSlackToken(aNow, entry) ? kGranted : RateVerdict{};
+    return TakeSlackToken(aNow, entry) ? kGranted : kNotYet;
   }
   entry.bucket.Charge(aRetries);
-  RateVerdict verdict =
-    TakeFrom(entry.bucket, aNow, aOrganisation.ratePerSecond, aOrganisation.burst);
+  const double fraction = OwnedFraction();
+  RateVerdict verdict = TakeFrom(
+    entry.bucket, aNow, aOrganisation.ratePerSecond * fraction, aOrganisation.burst * fraction);
   const bool isNew = aNow - entry.ownedSince < kSlackPeriod; // its bucket started empty
   const bool grantedFromSlack =
     verdict.kind == RateVerdict::Kind::kExceeded && isNew && TakeSlackToken(aNow, entry);
@@ -186,18 +191,4 @@
   return true;
 }
 
-RateVerdict RateOwner::TakeLocalToken(TimePoint aNow, const Organisation& aOrganisation)
-{
-  Entry& entry = EntryOf(aOrganisation.name);
-  const auto nodes =
-    static_cast<double>(std::max(mKnownVms, std::max<std::size_t>(1, mLiveVms.size())));
-  const double burst = aOrganisation.burst / nodes;
-  if (entry.localShareUsed == TimePoint{} || aNow - entry.localShareUsed > kLocalShareMaxIdle) {
-    const double roundingOffset = std::uniform_real_distribution<>(0, 1)(mRandom);
-    entry.localShare = TokenBucket(aNow, std::floor(burst + roundingOffset));
-  }
-  entry.localShareUsed = aNow;
-  return TakeFrom(entry.localShare, aNow, aOrganisation.ratePerSecond / nodes, burst);
-}
-
 } // namespace mustardwinch
--- a/src/quota/RateOwner.h
+++ b/src/quota/RateOwner.h
@@ -2,13 +2,13 @@
 
 #include "mustardwinch/Clock.h"
 #include "mustardwinch/Organisation.h"
+#include "quota/RateFleetView.h"
 #include "quota/RateSettings.h"
 #include "quota/RateVerdict.h"
 #include "quota/TokenBucket.h"
 
 #include <cstdint>
 #include <map>
-#include <random>
 #include <string>
 #include <vector>
 
@@ -40,14 +40,17 @@
 void SortByRank(const std::string& aTask, std::vector<std::string>& aVms);
 
 /**
- * Enforces the rates of the organisations that this node owns for the whole fleet, and holds this
- * node's local share of every organisation's rate for the time in which no owner answers.
+ * Enforces the rates of the organisations that this node owns for the whole fleet.
  *
  * Load pattern: one organisation sends many times its rate through all nodes while owners fail and
  * links are cut. A new owner starts with an empty bucket, and only after the old owner's links have
- * gone silent on all nodes. The local shares of all nodes add up to the rate and the burst. A
- * change of owner therefore loses tokens and creates none except within the slack that operators
- * tolerate.
+ * gone silent on all nodes. A change of owner therefore loses tokens and creates none except within
+ * the slack that operators tolerate.
+ *
+ * Load pattern: some of the nodes are cut off, and each of them grants its share of the rate (see
+ * LocalRateShares). The owner only grants the shares of the VMs with which it has contact, so that
+ * all shares add up to the rate and the burst. An owner that has no contact with most VMs grants
+ * nothing; when it regains it, it starts over as a new owner, as there may have been another one.
  *
  * Load pattern: all nodes restart together. With 80 nodes, a local share is less than one token in
  * the seconds in which there is no active owner, and small organisations would be refused although
@@ -61,59 +64,45 @@
   RateOwner(std::string aSelf, TimePoint aStart, const RateSettings& aSettings = {});
 
   /**
-   * Sets the VMs that this node sees alive, including itself, and their expected number. Called a
-   * few times per second; a longer gap means that the node was suspended, and it starts over as a
-   * new owner.
+   * Sets this node's view of the fleet. Called a few times per second; a longer gap means that the
+   * node was suspended, and it starts over as a new owner. If all VMs, including this one, have
+   * just started, a new owner becomes active at once, as there is no previous one.
    *
-   * @param aRestarted most VMs are alive and all of them, including this one, have just started: a
-   *   new owner becomes active at once, as there is no previous one
    * @return whether owners may have changed
    */
-  bool SetFleet(TimePoint aNow,
-                std::vector<std::string> aLiveVms,
-                std::size_t aKnownVms,
-                bool aRestarted = false);
+  bool SetFleet(TimePoint aNow, const RateFleetView& aFleet);
 
   /** The owner of an organisation in this node's view. */
   const std::string& OwnerOf(const std::string& aOrganisation);
 
-  /** Grants or refuses a token to a node of the fleet. @param aRetries retries to charge as well */
+  /** Grants or refuses a token to a node of the fleet. @param aRetries tokens to charge as well,
+   * for retries and advances */
   RateVerdict Take(TimePoint aNow, const Organisation& aOrganisation, std::uint32_t aRetries = 0);
 
-  /**
-   * Takes a token from this node's local share. A share that was not used recently starts at a
-   * random level whose mean is the node's share of the burst, so that the shares of all nodes add
-   * up to the burst although each can only grant whole tokens.
-   */
-  RateVerdict TakeLocalToken(TimePoint aNow, const Organisation& aOrganisation);
-
 private:
   struct Entry
   {
     std::string owner;
     TimePoint ownedSince{};
     TokenBucket bucket;
-    TokenBucket localShare;
-    TimePoint localShareUsed{}; //!< when the local share was last used
-    double slackTokens = 0;     //!< tokens of the slack that may still be granted
-    TimePoint slackRefilled{};  //!< when slackTokens was last refilled
+    double slackTokens = 0;    //!< tokens of the slack that may still be granted
+    TimePoint slackRefilled{}; //!< when slackTokens was last refilled
   };
 
   Entry& EntryOf(const std::string& aOrganisation);
   bool WasSuspended(TimePoint aNow) const;
+  bool HasMajority(TimePoint aNow) const;
+  /** Fraction of rate and burst that this node grants as the owner. */
+  double OwnedFraction() const;
   /** Takes a token out of the slack. False if none is left. */
   bool TakeSlackToken(TimePoint aNow, Entry& aEntry) const;
 
   const std::string mSelf;
-  const TimePoint mStart;
   const RateSettings mSettings;
   TimePoint mFleetChanged;
   TimePoint mLastSetFleet; //!< time of the last call of SetFleet()
-  std::vector<std::string> mLiveVms;
-  std::size_t mKnownVms = 1;
-  bool mRestarted = false; //!< all VMs have just started
-  std::map<std::string, Entry> mEntries;
-  std::mt19937_64 mRandom;
+  RateFleetView mFleet;
+  std::map<std::string, Entry> mEntries; //!< by organisation
 };
 
 } // namespace mustardwinch
--- a/src/quota/RateVerdict.h
+++ b/src/quota/RateVerdict.h
@@ -14,7 +14,8 @@
   {
     kGranted,
     kExceeded,
-    kNotOwner, //!< the node does not grant tokens for this organisation, or not yet
+    kNotOwner, //!< the node does not grant tokens for this organisation
+    kNotYet,   //!< the node is the owner and has only just become it, so it grants no tokens yet
   };
 
   Kind kind = Kind::kNotOwner;
@@ -22,6 +23,9 @@
 
   std::string decidedBy; //!< VM that made the decision; empty: the token came from the local share
 
+  /** Whether an owner granted or refused the token. */
+  bool IsDecided() const { return kind == Kind::kGranted || kind == Kind::kExceeded; }
+
   bool operator==(const RateVerdict&) const = default;
 };
 
--- a/src/sidecar/RateTokenBroker.cpp
+++ b/src/sidecar/RateTokenBroker.cpp
@@ -21,6 +21,7 @@
   , mLinks(aLinks)
   , mKind(aKind)
   , mOwner(mSelf, aClock.Now(), aSettings)
+  , mLocal(mSelf, aSettings)
 {
 }
 
@@ -46,14 +47,11 @@
 {
   const std::string owner = mOwner.OwnerOf(aOrganisation.name);
   const std::uint32_t retries = std::exchange(mUnchargedRetries[aOrganisation.name], 0);
+  const std::uint32_t advances = mLocal.TakeUncharged(aOrganisation.name);
   if (owner == mSelf) {
-    RateVerdict verdict = mOwner.Take(mClock.Now(), aOrganisation, retries);
-    if (verdict.kind == RateVerdict::Kind::kNotOwner) {
-      verdict = mOwner.TakeLocalToken(mClock.Now(), aOrganisation);
-    } else {
-      verdict.decidedBy = mSelf;
-    }
-    aDone(verdict);
+    RateVerdict verdict = mOwner.Take(mClock.Now(), aOrganisation, retries + advances);
+    verdict.decidedBy = mSelf;
+    aDone(Settle(aOrganisation, advances, std::move(verdict)));
     return;
   }
   PeerLink* link = mLinks.Find(owner);
@@ -61,7 +59,7 @@
     link = mLinks.Find(SelectRateRelay(aOrganisation.name, mLinks.LiveVms(), mSelf));
   }
   const auto pending = std::make_shared<Pending>(
-    Pending{ aOrganisation, std::move(aDone), mClock.Now() + kAskTimeout });
+    Pending{ aOrganisation, std::move(aDone), mClock.Now() + kAskTimeout, advances });
   mPending.push_back(pending);
   const std::weak_ptr<Pending> weak = pending;
   const auto onVerdict = [this, weak, owner](RateVerdict aVerdict) {
@@ -69,7 +67,7 @@
     Complete(weak, std::move(aVerdict));
   };
   const RateAskMessage request{
-    0, aOrganisation.name, retries, false, static_cast<std::uint8_t>(mKind)
+    0, aOrganisation.name, retries + advances, false, static_cast<std::uint8_t>(mKind)
   };
   if (link == nullptr || !link->AskRate(request, onVerdict)) {
     Complete(weak, {});
@@ -83,15 +81,26 @@
     return; // it already timed out
   }
   mPending.remove(pending);
-  if (aVerdict.kind == RateVerdict::Kind::kNotOwner) {
-    aVerdict = mOwner.TakeLocalToken(mClock.Now(), pending->organisation);
+  pending->done(Settle(pending->organisation, pending->advances, std::move(aVerdict)));
+}
+
+RateVerdict RateTokenBroker::Settle(const Organisation& aOrganisation,
+                                    std::uint32_t aAdvances,
+                                    RateVerdict aVerdict)
+{
+  if (aVerdict.IsDecided()) {
+    mLocal.OnOwnerAnswered(aOrganisation.name, aAdvances);
+    return aVerdict;
   }
-  pending->done(aVerdict);
+  mLocal.OnOwnerSilent(mClock.Now(), aOrganisation.name, aAdvances);
+  const bool ownerIsNew = aVerdict.kind == RateVerdict::Kind::kNotYet;
+  return mLocal.Take(mClock.Now(), aOrganisation, ownerIsNew);
 }
 
 bool RateTokenBroker::SetFleet(const RateFleetView& aFleet)
 {
-  return mOwner.SetFleet(mClock.Now(), aFleet.alive, aFleet.known, aFleet.restarted);
+  mLocal.SetFleet(aFleet);
+  return mOwner.SetFleet(mClock.Now(), aFleet);
 }
 
 void RateTokenBroker::Tick()
--- a/src/sidecar/RateTokenBroker.h
+++ b/src/sidecar/RateTokenBroker.h
@@ -3,8 +3,9 @@
 #include "fleet/LinkTable.h"
 #include "mustardwinch/Clock.h"
 #include "mustardwinch/Organisation.h"
+#include "quota/LocalRateShares.h"
+#include "quota/RateFleetView.h"
 #include "quota/RateOwner.h"
-#include "sidecar/RateFleetView.h"
 
 #include <functional>
 #include <list>
@@ -28,7 +29,7 @@
                   RateKind aKind,
                   const RateSettings& aSettings);
 
-  /** aDone is called once, now or later; never with kNotOwner. */
+  /** aDone is called once, now or later, with a decision. */
   void Acquire(const Organisation& aOrganisation, VerdictFn aDone);
 
   /** Counts a retried request of the organisation, which is charged with the next token request. */
@@ -52,15 +53,21 @@
     Organisation organisation;
     VerdictFn done;
     TimePoint until{};
+    std::uint32_t advances = 0; //!< with which the owner is charged if it answers
   };
 
   void Complete(const std::weak_ptr<Pending>& aPending, RateVerdict aVerdict);
+  /** Returns the owner's verdict or, if it made none, that of the local share. */
+  RateVerdict Settle(const Organisation& aOrganisation,
+                     std::uint32_t aAdvances,
+                     RateVerdict aVerdict);
 
   Clock& mClock;
   const std::string mSelf;
   LinkTable& mLinks;
   const RateKind mKind;
   RateOwner mOwner;
+  LocalRateShares mLocal;
   std::list<std::shared_ptr<Pending>> mPending;
   std::map<std::string, std::uint32_t> mUnchargedRetries; //!< by organisation
 };
--- a/src/sidecar/SidecarNodeLinks.cpp
+++ b/src/sidecar/SidecarNodeLinks.cpp
@@ -124,14 +124,17 @@
 void SidecarNode::UpdateRateFleet()
 {
   const TimePoint earliest = mClock.Now() - kFleetRestartWindow;
-  const RateFleetView fleet{ mLinks.AgreedVms(),
-                             mLinks.All().size() + 1,
-                             mStartTime >= earliest && mLinks.MostBeganSince(earliest) };
+  const RateFleetView fleet{
+    mLinks.AgreedVms(),      mLinks.All().size() + 1,
+    mLinks.LiveVms().size(), mLinks.MajorityHeard(),
+    mLinks.DetectionTime(),  mStartTime >= earliest && mLinks.MostBeganSince(earliest)
+  };
   if (mRates.SetFleet(fleet)) {
     LogEvent(LogLevel::kInfo,
              Event::kRateFleetChanged,
              { { "alive", std::to_string(fleet.alive.size()) },
                { "known", std::to_string(fleet.known) },
+               { "reached", std::to_string(fleet.reached) },
                { "restarted", fleet.restarted ? "yes" : "no" } });
   }
   mRetryRates.SetFleet(fleet);
--- a/tests/quota/RateOwnerTest.cpp
+++ b/tests/quota/RateOwnerTest.cpp
@@ -1,4 +1,5 @@
 #include "quota/RateOwner.h"
+#include "quota/LocalRateShares.h"
 
 #include <doctest/doctest.h>
 
@@ -11,6 +12,56 @@
 
 namespace {
 
+constexpr RateSettings kSettings{ 20, 0.1, Milliseconds(5'000) }; //!< as in kBound
+constexpr Duration kDetection = Milliseconds(1'700);
+
+/** The part of a node that grants tokens. */
+struct RateNode
+{
+  RateNode(const std::string& aVm, TimePoint aStart)
+    : owner(aVm, aStart, kSettings)
+    , local(aVm, kSettings)
+  {
+  }
+
+  /** As running nodes do several times a second: the node has contact with the VMs that it sees
+   * alive. */
+  void SetFleet(TimePoint aNow,
+                const std::vector<std::string>& aLiveVms,
+                std::size_t aKnownVms,
+                bool aRestarted = false)
+  {
+    RateFleetView fleet{ aLiveVms, aKnownVms, aLiveVms.size(), {}, kDetection, aRestarted };
+    if (2 * aLiveVms.size() > aKnownVms) {
+      majorityHeard = aNow;
+    }
+    fleet.majorityHeard = majorityHeard;
+    owner.SetFleet(aNow, fleet);
+    local.SetFleet(fleet);
+  }
+
+  const std::string& OwnerOf(const std::string& aOrganisation)
+  {
+    return owner.OwnerOf(aOrganisation);
+  }
+
+  RateVerdict Take(TimePoint aNow, const Organisation& aOrganisation, std::uint32_t aCharged = 0)
+  {
+    return owner.Take(aNow, aOrganisation, aCharged);
+  }
+
+  RateVerdict TakeLocalToken(TimePoint aNow,
+                             const Organisation& aOrganisation,
+                             bool aOwnerIsNew = false)
+  {
+    return local.Take(aNow, aOrganisation, aOwnerIsNew);
+  }
+
+  RateOwner owner;
+  LocalRateShares local;
+  TimePoint majorityHeard{};
+};
+
 /** Nodes that request tokens as RateTokenBroker does, on one manual clock, with views set by the
  * test. */
 struct RateFixture
@@ -29,22 +80,27 @@
     SetLive(vms);
   }
 
-  /** The slack is the one that kBound includes. */
-  std::unique_ptr<RateOwner> MakeNode(const std::string& aVm) const
+  std::unique_ptr<RateNode> MakeNode(const std::string& aVm) const
   {
-    return std::make_unique<RateOwner>(aVm, now, RateSettings{ 20 });
+    return std::make_unique<RateNode>(aVm, now);
   }
 
   bool RequestToken(const std::string& aVm)
   {
-    RateOwner& node = *nodes[aVm];
+    RateNode& node = *nodes[aVm];
     const std::string owner = node.OwnerOf(organisation.name);
     RateVerdict verdict;
-    if (failed.count(owner) == 0) {
-      verdict = nodes[owner]->Take(now, organisation);
+    const std::uint32_t advances = node.local.TakeUncharged(organisation.name);
+    if (failed.count(owner) == 0 &&
+        (owner == aVm || cutOff.count(owner) + cutOff.count(aVm) == 0)) {
+      verdict = nodes[owner]->Take(now, organisation, advances);
     }
-    if (verdict.kind == RateVerdict::Kind::kNotOwner) {
-      verdict = node.TakeLocalToken(now, organisation);
+    if (verdict.IsDecided()) {
+      node.local.OnOwnerAnswered(organisation.name, advances);
+    } else {
+      const bool ownerIsNew = verdict.kind == RateVerdict::Kind::kNotYet;
+      node.local.OnOwnerSilent(now, organisation.name, advances);
+      verdict = node.TakeLocalToken(now, organisation, ownerIsNew);
     }
     if (verdict.kind == RateVerdict::Kind::kGranted) {
       grants.push_back(now);
@@ -117,6 +173,32 @@
     }
   }
 
+  /** Cuts VMs off from all others; nobody has noticed yet. */
+  void Cut(const std::set<std::string>& aVms) { cutOff = aVms; }
+
+  /** All nodes notice the cut: the others see each other, and a VM that is cut off itself alone. */
+  void NoticeCut()
+  {
+    std::vector<std::string> rest;
+    for (const std::string& it : vms) {
+      views[it] = { it };
+      if (cutOff.count(it) == 0) {
+        rest.push_back(it);
+      }
+    }
+    for (const std::string& it : rest) {
+      views[it] = rest;
+    }
+  }
+
+  void Heal()
+  {
+    cutOff.clear();
+    for (const std::string& it : vms) {
+      views[it] = vms;
+    }
+  }
+
   /** Restarts all nodes; each one learns that the others have just started too. */
   void Restart()
   {
@@ -132,9 +214,10 @@
   bool restarted = false; //!< passed to SetFleet(): all nodes have just started
   Organisation organisation;
   std::vector<std::string> vms;
-  std::map<std::string, std::unique_ptr<RateOwner>> nodes;
+  std::map<std::string, std::unique_ptr<RateNode>> nodes;
   std::map<std::string, std::vector<std::string>> views; //!< the VMs that each node sees alive
   std::set<std::string> failed;
+  std::set<std::string> cutOff; //!< each of these VMs is out of contact with all others
   std::vector<TimePoint> grants;
 };
 
@@ -235,7 +318,7 @@
   const TimePoint now{ Seconds(1'000) };
   int granted = 0;
   for (int i = 0; i < 80; ++i) {
-    RateOwner node("vm-" + std::to_string(i), now);
+    RateNode node("vm-" + std::to_string(i), now);
     node.SetFleet(now, {}, 80);
     for (int k = 0; k < 5; ++k) {
       granted += node.TakeLocalToken(now, organisation).kind == RateVerdict::Kind::kGranted ? 1 : 0;
@@ -326,6 +409,135 @@
   CHECK(MaxGrantsWithin(Seconds(5)) <= kBound);
 }
 
+// Guards against granting a rate twice: in full by the owner, and by shares on VMs that are cut
+// off.
+TEST_CASE_FIXTURE(RateFixture,
+                  "RateOwner, a third of the VMs is cut off under overload, stays within the bound")
+{
+  AdvanceTime(Seconds(10));
+  const std::string owner = nodes["vm-0"]->OwnerOf("org");
+  std::set<std::string> others;
+  for (const std::string& it : vms) {
+    if (it != owner && others.size() < 4) {
+      others.insert(it);
+    }
+  }
+  SUBCASE("overload begins before the cut")
+  {
+    RunOverload(Seconds(1));
+    Cut(others);
+    RunOverload(kDetection);
+    NoticeCut();
+  }
+  SUBCASE("overload begins with the cut")
+  {
+    Cut(others);
+    RunOverload(kDetection);
+    NoticeCut();
+  }
+  SUBCASE("overload begins long after the cut")
+  {
+    Cut(others);
+    AdvanceTime(kDetection);
+    NoticeCut();
+    AdvanceTime(Seconds(10));
+  }
+  RunOverload(Seconds(8));
+  Heal();
+  RunOverload(Seconds(8));
+  CHECK(MaxGrantsWithin(Seconds(5)) <= kBound);
+}
+
+// Guards against a second burst: an owner that was cut off is the only VM that it sees, so it owns
+// everything for as long as the cut lasts, and its bucket fills.
+TEST_CASE_FIXTURE(RateFixture,
+                  "RateOwner, owner is cut off and returns under overload, stays within the bound")
+{
+  AdvanceTime(Seconds(10));
+  Cut({ nodes["vm-0"]->OwnerOf("org") });
+  RunOverload(kDetection);
+  NoticeCut();
+  RunOverload(Seconds(10));
+  Heal();
+  RunOverload(Seconds(8));
+  CHECK(MaxGrantsWithin(Seconds(5)) <= kBound);
+}
+
+TEST_CASE_FIXTURE(RateFixture,
+                  "RateOwner, owner regains contact with most VMs, starts over as a new owner")
+{
+  AdvanceTime(Seconds(10));
+  const std::string owner = nodes["vm-0"]->OwnerOf("org");
+  Cut({ owner });
+  NoticeCut();
+  AdvanceTime(Seconds(1));
+  RequestToken(owner); // by its own callers; it is the only VM that it sees alive
+  AdvanceTime(Seconds(10));
+  Heal();
+  Tick();
+  int granted = 0;
+  for (int i = 0; i < 50; ++i) {
+    granted += nodes[owner]->Take(now, organisation).kind == RateVerdict::Kind::kGranted ? 1 : 0;
+  }
+  CHECK(granted <= 0.4 * kSettings.slack); // what a new owner grants
+}
+
+TEST_CASE_FIXTURE(RateFixture,
+                  "RateOwner, owner has no contact with most VMs lately, grants no tokens")
+{
+  AdvanceTime(Seconds(10));
+  const std::string owner = nodes["vm-0"]->OwnerOf("org");
+  nodes[owner]->majorityHeard = now - Milliseconds(100);
+  RateFleetView fleet{
+    vms, vms.size(), vms.size(), now - kDetection - Milliseconds(1), kDetection
+  };
+  nodes[owner]->owner.SetFleet(now, fleet);
+  CHECK(nodes[owner]->Take(now, organisation).kind == RateVerdict::Kind::kNotOwner);
+}
+
+TEST_CASE_FIXTURE(RateFixture,
+                  "RateOwner, a VM stays cut off, its requests within its share are served")
+{
+  AdvanceTime(Seconds(10));
+  const std::string owner = nodes["vm-0"]->OwnerOf("org");
+  const std::string cut = owner == "vm-0" ? "vm-1" : "vm-0";
+  Cut({ cut });
+  AdvanceTime(kDetection);
+  NoticeCut();
+  AdvanceTime(2 * kDetection);
+  int served = 0;
+  for (int i = 0; i < 20; ++i) { // two a second, of five that are its share
+    now += Milliseconds(500);
+    Tick();
+    served += RequestToken(cut) ? 1 : 0;
+  }
+  CHECK(served >= 19); // its share may start empty
+}
+
+TEST_CASE("LocalRateShares, owner silent for a moment, advances are charged when it answers")
+{
+  Organisation organisation;
+  organisation.name = "org";
+  organisation.ratePerSecond = 50;
+  organisation.burst = 50;
+  LocalRateShares shares("vm-0", RateSettings{ 0, 0.2, Milliseconds(5'000) });
+  TimePoint now{ Seconds(1'000) };
+  shares.SetFleet({ { "vm-0" }, 10, 10, now, kDetection, false });
+  std::uint32_t granted = 0;
+  for (int i = 0; i < 10; ++i) {
+    granted += shares.Take(now, organisation, false).kind == RateVerdict::Kind::kGranted ? 1 : 0;
+  }
+  CHECK(granted >= 3); // a tenth of 30 by the settings
+  CHECK(granted <= 4);
+  CHECK(shares.TakeUncharged("org") == granted);
+  CHECK(shares.TakeUncharged("org") == 0);
+  shares.OnOwnerSilent(now, "org", granted); // the request was lost
+  CHECK(shares.TakeUncharged("org") == granted);
+  shares.OnOwnerAnswered("org", granted);
+  CHECK(shares.TakeUncharged("org") == 0);
+  CHECK(shares.Take(now, organisation, false).kind == RateVerdict::Kind::kGranted);
+}
+
 TEST_CASE("SelectRateRelay, path to the owner is cut, another VM is the relay")
 {
   const std::string relay = SelectRateRelay("org", { "vm-0", "vm-1", "vm-2" }, "vm-0");
--- a/tests/sidecar/SidecarSettingsTest.cpp
+++ b/tests/sidecar/SidecarSettingsTest.cpp
@@ -26,6 +26,8 @@
   window_s: 10
 rates:
   slack: 20
+  overrun: 0.1
+  window_ms: 5000
 revocation:
   strict: true
   bound_ms: 4000
@@ -46,7 +48,7 @@
   REQUIRE(report.settings.IsOk());
   CHECK(report.settings.Value().stopGrace == Seconds(6));
   CHECK(report.settings.Value().retries == RetrySettings{ 0.2, 62, Seconds(10) });
-  CHECK(report.settings.Value().rates == RateSettings{ 20 });
+  CHECK(report.settings.Value().rates == RateSettings{ 20, 0.1, Seconds(5) });
   CHECK(report.settings.Value().revocation == RevocationSettings{ true, Milliseconds(4'000) });
   CHECK(report.settings.Value().link == *Address::Parse("10.0.0.1:7000"));
 }
