A node that stops waits until its answers are handed to the kernel

Cause: from 3.2 s on a node that stops ends as soon as no request is open, and a request counts as ended when its answer is handed to the session.

Ruled out: requests that come late in the grace; they are refused as not run from half of it on, and those taken before get an answer before the end.

Fix: MayExit also waits until no session of a caller and no link to another node has bytes that the kernel has not taken, at most until the grace ends.

Evidence: "Planned stop, caller reads a large answer slowly, gets it whole" fails without the new condition (the loop has stopped, the answer is cut) and passes with it; a caller that does not read does not hold the node beyond its grace, with and without it. Links to other nodes: no test of their own.

--- a/src/fleet/FleetServer.cpp
+++ b/src/fleet/FleetServer.cpp
@@ -4,6 +4,7 @@
 #include "http/OpenAcceptor.h"
 #include "mustardwinch/Event.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace mustardwinch {
@@ -207,6 +208,14 @@
   }
 }
 
+std::size_t FleetServer::Sending() const
+{
+  return static_cast<std::size_t>(
+    std::count_if(mPeers.begin(), mPeers.end(), [](const auto& aEntry) {
+      return aEntry.second->connection->IsSending();
+    }));
+}
+
 std::size_t FleetServer::Open() const
 {
   std::size_t n = 0;
--- a/src/fleet/FleetServer.h
+++ b/src/fleet/FleetServer.h
@@ -51,6 +51,9 @@
   /** Calls that have no result yet. */
   std::size_t Open() const;
 
+  /** Links on which a frame, such as a result, is not sent whole. */
+  std::size_t Sending() const;
+
 private:
   struct Peer
   {
--- a/src/fleet/FrameConnection.h
+++ b/src/fleet/FrameConnection.h
@@ -29,6 +29,9 @@
   void Close();
   bool IsOpen() const { return mOpen; }
 
+  /** A part of a frame has not been handed to the kernel yet. */
+  bool IsSending() const { return mOpen && (mWriting || !mOutput.empty()); }
+
   /** The event loop has ended: nobody will be called any more. */
   void DropCallbacks();
 
--- a/src/http/HttpListener.cpp
+++ b/src/http/HttpListener.cpp
@@ -3,6 +3,7 @@
 #include "http/OpenAcceptor.h"
 #include "mustardwinch/Event.h"
 
+#include <algorithm>
 #include <vector>
 
 namespace mustardwinch {
@@ -56,6 +57,14 @@
   return n;
 }
 
+std::size_t HttpListener::Sending() const
+{
+  return static_cast<std::size_t>(
+    std::count_if(mSessions.begin(), mSessions.end(), [](const HttpSession* aSession) {
+      return aSession->IsSending();
+    }));
+}
+
 void HttpListener::Accept()
 {
   const std::weak_ptr<bool> alive = mAlive;
--- a/src/http/HttpListener.h
+++ b/src/http/HttpListener.h
@@ -32,6 +32,9 @@
 
   /** Requests that are handled now. */
   std::size_t Busy() const;
+
+  /** Sessions with an answer that is not sent whole. */
+  std::size_t Sending() const;
   std::size_t Count() const { return mSessions.size(); }
 
 private:
--- a/src/http/HttpSession.h
+++ b/src/http/HttpSession.h
@@ -49,6 +49,9 @@
 
   bool IsBusy() const { return mBusy; }
 
+  /** A part of an answer has not been handed to the kernel yet. */
+  bool IsSending() const { return !mClosed && (mWriting || !mOutput.empty()); }
+
 private:
   void Read();
   void OnRead(const boost::system::error_code& aError, std::size_t aCount);
--- a/src/sidecar/SidecarNode.cpp
+++ b/src/sidecar/SidecarNode.cpp
@@ -302,7 +302,9 @@
   if (elapsed >= mSettings.stopGrace - kStopMargin) {
     return true;
   }
-  return elapsed >= kMinStopTime && mIngress.Open() == 0 && mGate.Running() == 0;
+  const bool idle = mIngress.Open() == 0 && mGate.Running() == 0;
+  const bool sent = mCallers.Sending() == 0 && mServer.Sending() == 0;
+  return elapsed >= kMinStopTime && idle && sent;
 }
 
 } // namespace mustardwinch
--- a/tests/sidecar/TestUpstream.h
+++ b/tests/sidecar/TestUpstream.h
@@ -62,7 +62,9 @@
       return;
     }
     headers.push_back({ "X-Response-Signature", "signed-" + instance });
-    aSession->Answer({ error ? 500U : 200U, headers, "answer of " + instance });
+    const std::string body =
+      largeAnswer ? std::string(kLargeAnswerBytes, 'l') : "answer of " + instance;
+    aSession->Answer({ error ? 500U : 200U, headers, body });
   }
 
   std::string instance;
@@ -75,6 +77,9 @@
   bool shed = false;
   bool error = false;
   bool wrongId = false;
+  bool largeAnswer = false;
+
+  static constexpr std::size_t kLargeAnswerBytes = 12U << 20; //!< more than the kernel's buffers
 };
 
 } // namespace mustardwinch::test
