A late answer without a length no longer leaves an exchange without an end

Cause: an answer without a length to another request is complete at the end of the stream. HttpChannel dropped it and waited for the next one without reading on, so the exchange had no end, and closing the channel at the deadline ended no operation. The gate's slot stayed taken.

Ruled out: late answers with a length; reading goes on after them (tests of the gate).

Fix: if the exchange is still open when the stream has ended, it ends with that error.

Evidence: the new case "HttpChannel, answer without a length to another request, the exchange ends with an error" gets no result without the fix and passes with it.

--- a/src/http/HttpChannel.cpp
+++ b/src/http/HttpChannel.cpp
@@ -186,6 +186,9 @@
     mParser->put_eof(ec);
     if (!ec && mParser->is_done()) {
       OnAnswer();
+      if (mDone) { // the answer to another request, and no other can follow
+        Finish(aError, false);
+      }
       return;
     }
   }
--- a/tests/http/EarlyAnswerTest.cpp
+++ b/tests/http/EarlyAnswerTest.cpp
@@ -62,7 +62,7 @@
         head + std::string(kUploadBytes, 'x'),
         kMaxAnswer,
         false,
-        [](const HttpAnswer&) { return true; },
+        [](const HttpAnswer& aAnswer) { return aAnswer.status != 299; },
         [&](HttpChannelResult aResult) { result = std::move(aResult); });
     });
     RunUntil([&] { return accepted; });
@@ -148,3 +148,14 @@
   CHECK(result->answer.body == kHalf);
   CHECK_FALSE(result->reusable);
 }
+
+// Guards against a call that never ends and keeps its slot for good.
+TEST_CASE_FIXTURE(
+  EarlyServer,
+  "HttpChannel, answer without a length to another request, the exchange ends with an error")
+{
+  const auto result = Upload("HTTP/1.1 299 Other\r\n\r\n" + kHalf, End::kReadsOn);
+  REQUIRE(result);
+  CHECK(result->error);
+  CHECK_FALSE(result->reusable);
+}
