Advances of the shared retry budget use what the budget leaves

Since nodes take advances instead of their share while an owner is silent, the shared retry budget had none: its broker got no tolerance, so for 1.7 s after an owner fell silent a node had only retries of its own.

Cause: mRetryRates was made with empty RateSettings. The shared budget uses four fifths of the slack (rate 0.45, burst 0.35) and leaves the last for changes of the owner, but nobody told the broker so.

Ruled out: a higher burst of the shared budget, which would break its bound in one window.

Fix: MakeRetryTolerance gives the last fifth as the overrun.

--- a/src/sidecar/SharedRetryBudget.cpp
+++ b/src/sidecar/SharedRetryBudget.cpp
@@ -5,9 +5,10 @@
 namespace mustardwinch {
 namespace {
 
-// Fractions of the slack. Together they leave a fifth for changes of the owner.
+// Fractions of the slack.
 constexpr double kRateShare = 0.45;
 constexpr double kBurstShare = 0.35;
+constexpr double kOverrunShare = 0.2; //!< for changes of the owner
 
 } // namespace
 
@@ -21,4 +22,12 @@
   return budget;
 }
 
+RateSettings MakeRetryTolerance(const RetrySettings& aSettings)
+{
+  RateSettings tolerance;
+  tolerance.overrun = kOverrunShare / (kRateShare + kBurstShare);
+  tolerance.window = aSettings.window;
+  return tolerance;
+}
+
 } // namespace mustardwinch
--- a/src/sidecar/SharedRetryBudget.h
+++ b/src/sidecar/SharedRetryBudget.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "mustardwinch/Organisation.h"
+#include "quota/RateSettings.h"
 #include "sidecar/RetrySettings.h"
 
 #include <string>
@@ -17,4 +18,7 @@
  */
 Organisation MakeSharedRetryBudget(const std::string& aService, const RetrySettings& aSettings);
 
+/** Returns the overrun of the shared budgets that the retry budget still bears. */
+RateSettings MakeRetryTolerance(const RetrySettings& aSettings);
+
 } // namespace mustardwinch
--- a/src/sidecar/SidecarNode.cpp
+++ b/src/sidecar/SidecarNode.cpp
@@ -2,6 +2,7 @@
 
 #include "base/BoundedLog.h"
 #include "mustardwinch/Event.h"
+#include "sidecar/SharedRetryBudget.h"
 
 #include <algorithm>
 #include <csignal>
@@ -48,7 +49,11 @@
   , mLinks(aLoop, mClock, Self(), MakeLinkCallbacks())
   , mServer(aLoop, MakeServerHandlers())
   , mRates(mClock, mSettings.vmName, mLinks, RateKind::kOrganisation, mSettings.rates)
-  , mRetryRates(mClock, mSettings.vmName, mLinks, RateKind::kRetries, {})
+  , mRetryRates(mClock,
+                mSettings.vmName,
+                mLinks,
+                RateKind::kRetries,
+                MakeRetryTolerance(mSettings.retries))
   , mIngress(MakeIngressServices())
   , mRegistrar(aLoop, mClock, mBinding.store, Self(), mLinks, [this] { mMemberWatcher.SkipGap(); })
   , mConfigWatcher(aLoop, mClock, mBinding.store, StoredKind::kConfig, ConfigHandlers())
