A node that stops waits for requests that are being read

A caller whose upload was under way when its node was stopped saw the connection cut 3.2 s later, without a word whether the request would run.

Cause: MayExit counted a request only once it was read whole.

Ruled out: LOST by the rule, which needs a request that was read whole; the upload had not run. A refusal is still better for the caller than a cut.

Fix: MayExit waits, within the grace, until no session has read a part of a request; what ends late is refused as not run, as other late requests are.

Evidence: "Planned stop, upload ends late in the grace, is refused as not run and not cut" failed before (the node had ended) and passes.

--- a/src/http/HttpListener.cpp
+++ b/src/http/HttpListener.cpp
@@ -57,6 +57,14 @@
   return n;
 }
 
+std::size_t HttpListener::Receiving() const
+{
+  return static_cast<std::size_t>(
+    std::count_if(mSessions.begin(), mSessions.end(), [](const HttpSession* aSession) {
+      return aSession->IsReceiving();
+    }));
+}
+
 std::size_t HttpListener::Sending() const
 {
   return static_cast<std::size_t>(
--- a/src/http/HttpListener.h
+++ b/src/http/HttpListener.h
@@ -33,6 +33,9 @@
   /** Requests that are handled now. */
   std::size_t Busy() const;
 
+  /** Sessions with a request that is not read whole. */
+  std::size_t Receiving() const;
+
   /** Sessions with an answer that is not sent whole. */
   std::size_t Sending() const;
   std::size_t Count() const { return mSessions.size(); }
--- a/src/http/HttpSession.h
+++ b/src/http/HttpSession.h
@@ -49,6 +49,9 @@
 
   bool IsBusy() const { return mBusy; }
 
+  /** A part of a request has been read, and its rest is awaited. */
+  bool IsReceiving() const { return mBegun && !mBusy && !mClosed; }
+
   /** A part of an answer has not been handed to the kernel yet. */
   bool IsSending() const { return !mClosed && (mWriting || !mOutput.empty()); }
 
--- a/src/sidecar/SidecarNode.cpp
+++ b/src/sidecar/SidecarNode.cpp
@@ -309,7 +309,8 @@
   }
   const bool idle = mIngress.Open() == 0 && mGate.Running() == 0;
   const bool sent = mCallers.Sending() == 0 && mServer.Sending() == 0;
-  return elapsed >= kMinStopTime && idle && sent;
+  const bool received = mCallers.Receiving() == 0; // the rest is refused, not cut off
+  return elapsed >= kMinStopTime && idle && sent && received;
 }
 
 } // namespace mustardwinch
