--- a/tests/ingress/DataPathTest.cpp
+++ b/tests/ingress/DataPathTest.cpp
@@ -1,4 +1,5 @@
 #include "FreeAddress.h"
+#include "RawUpstream.h"
 #include "TestUpstream.h"
 
 #include "config/ConfigSource.h"
@@ -355,6 +356,27 @@
   CHECK(answer.curl == CURLE_PARTIAL_FILE);
 }
 
+// Guards against passing on a truncated answer as whole: what ends it is a reset while the request
+// is still being sent.
+TEST_CASE_FIXTURE(OneNode,
+                  "Data path, answer without a length reset during an upload, is not complete")
+{
+  const std::string half(2'500, 'w');
+  test::RawUpstream upstream(kUpstreamOne, "HTTP/1.1 200 OK\r\n\r\n" + half);
+  Announce(kUpstreamOne);
+  const CallerAnswer answer = Call("POST", "/open", {}, std::string(16U << 20, 'x'));
+  CHECK((answer.curl != CURLE_OK || answer.status != 200));
+}
+
+TEST_CASE_FIXTURE(OneNode, "Data path, answer without a length reset, is not complete")
+{
+  const std::string half(2'500, 'w');
+  test::RawUpstream upstream(kUpstreamOne, "HTTP/1.1 200 OK\r\n\r\n" + half);
+  Announce(kUpstreamOne);
+  const CallerAnswer answer = Call("POST", "/open", {}, "small");
+  CHECK((answer.curl != CURLE_OK || answer.status != 200));
+}
+
 TEST_CASE_FIXTURE(OneNode, "Data path, no process at the upstream's address, is told as not run")
 {
   Announce(kUpstreamOne);
