A new owner charges advances and repeats also when it grants out of the slack

Advances that nodes had taken were never charged if the first verdict of a new owner was a token of its slack; the nodes took them for charged.

Cause: RateOwner::Take returned a token of the slack before it charged the bucket. Repeats were lost in the same way before there were advances.

Ruled out: verdicts "not yet" and "not the owner", after which the node keeps its charge; advances that add up over several silences (a trial case did not show it, as the share takes over after a detection time).

Found by reading the change again.

--- a/src/quota/RateOwner.cpp
+++ b/src/quota/RateOwner.cpp
@@ -164,7 +164,11 @@
     return {};
   }
   if (tooEarly) {
-    return TakeSlackToken(aNow, entry) ? kGranted : kNotYet;
+    if (!TakeSlackToken(aNow, entry)) {
+      return kNotYet;
+    }
+    entry.bucket.Charge(aRetries);
+    return kGranted;
   }
   entry.bucket.Charge(aRetries);
   const double fraction = OwnedFraction();
--- a/tests/quota/RateOwnerTest.cpp
+++ b/tests/quota/RateOwnerTest.cpp
@@ -538,6 +538,23 @@
   CHECK(shares.Take(now, organisation, false).kind == RateVerdict::Kind::kGranted);
 }
 
+// Guards against tokens that nobody counts: the charge was dropped with the token of the slack.
+TEST_CASE_FIXTURE(RateFixture,
+                  "RateOwner, new owner grants out of the slack, advances are charged all the same")
+{
+  AdvanceTime(Seconds(10));
+  const std::string owner = nodes["vm-0"]->OwnerOf("org");
+  nodes[owner] = MakeNode(owner);
+  Tick();
+  CHECK(nodes[owner]->Take(now, organisation, 100).kind == RateVerdict::Kind::kGranted);
+  AdvanceTime(Seconds(3)); // 75 tokens have accrued since it became active, less the 100
+  int granted = 0;
+  for (int i = 0; i < 50; ++i) {
+    granted += nodes[owner]->Take(now, organisation).kind == RateVerdict::Kind::kGranted ? 1 : 0;
+  }
+  CHECK(granted <= 0.4 * kSettings.slack);
+}
+
 TEST_CASE("SelectRateRelay, path to the owner is cut, another VM is the relay")
 {
   const std::string relay = SelectRateRelay("org", { "vm-0", "vm-1", "vm-2" }, "vm-0");
