The window of tolerated overruns may be a fraction of a second

rates.window_ms was written into the template as the platform's seconds with three zeros behind. A window of 2.5 s would have become 2.5000 and none at all 000, and a node with either does not start.

Cause: the settings page says that bounds are whole numbers or fractions, and the template can't calculate.

Ruled out: keeping milliseconds. Fix: rates.window_s, a number like the other bounds.

--- a/deploy/node.yaml.tpl
+++ b/deploy/node.yaml.tpl
@@ -20,7 +20,7 @@
 rates:
   slack: {{bounds.quotaSlack}}
   overrun: {{bounds.quotaOver}}
-  window_ms: {{bounds.quotaWindowS}}000
+  window_s: {{bounds.quotaWindowS}}
 {{#bounds.revokeMs}}
 revocation:
   strict: {{bounds.strictRevocation}}
--- a/src/sidecar/SidecarSettingsReport.cpp
+++ b/src/sidecar/SidecarSettingsReport.cpp
@@ -12,8 +12,8 @@
 constexpr std::uint32_t kMaxRetryWindowSeconds = 600;
 constexpr double kMaxRetrySlack = 100'000;
 constexpr double kMaxRateSlack = 100'000;
-constexpr std::uint32_t kMinRateWindowMs = 100;
-constexpr std::uint32_t kMaxRateWindowMs = 600'000;
+constexpr double kMinRateWindowSeconds = 0.1;
+constexpr double kMaxRateWindowSeconds = 600;
 constexpr std::uint32_t kMinRevocationMs = 500;
 constexpr std::uint32_t kMaxRevocationMs = 3'600'000;
 constexpr double kMaxColdFactor = 10;
@@ -59,11 +59,13 @@
 
 void ReadRates(SpecReader aReader, RateSettings& aSettings)
 {
-  auto window = static_cast<std::uint32_t>(aSettings.window.count());
+  double window = std::chrono::duration<double>(aSettings.window).count();
   aReader.Number("slack", Presence::kOptional, 0, kMaxRateSlack, aSettings.slack);
   aReader.Number("overrun", Presence::kOptional, 0, 1, aSettings.overrun);
-  aReader.Unsigned("window_ms", Presence::kOptional, kMinRateWindowMs, kMaxRateWindowMs, window);
-  aSettings.window = Milliseconds(window);
+  aReader.Number(
+    "window_s", Presence::kOptional, kMinRateWindowSeconds, kMaxRateWindowSeconds, window);
+  aSettings.window =
+    std::chrono::duration_cast<Milliseconds>(std::chrono::duration<double>(window));
   aReader.Finish();
 }
 
--- a/tests/sidecar/SidecarSettingsTest.cpp
+++ b/tests/sidecar/SidecarSettingsTest.cpp
@@ -27,7 +27,7 @@
 rates:
   slack: 20
   overrun: 0.1
-  window_ms: 5000
+  window_s: 2.5
 revocation:
   strict: true
   bound_ms: 4000
@@ -48,7 +48,7 @@
   REQUIRE(report.settings.IsOk());
   CHECK(report.settings.Value().stopGrace == Seconds(6));
   CHECK(report.settings.Value().retries == RetrySettings{ 0.2, 62, Seconds(10) });
-  CHECK(report.settings.Value().rates == RateSettings{ 20, 0.1, Seconds(5) });
+  CHECK(report.settings.Value().rates == RateSettings{ 20, 0.1, Milliseconds(2'500) });
   CHECK(report.settings.Value().revocation == RevocationSettings{ true, Milliseconds(4'000) });
   CHECK(report.settings.Value().link == *Address::Parse("10.0.0.1:7000"));
 }
