Deploy: an installation without the new bounds of rates still starts

A bound that an installation does not name is rendered as nothing, which the settings check refuses (found null), so the node would not start.

Cause: rates.overrun and rates.window_s stood in the template without a section. Ruled out: the other bounds, which were there before and are named by every site file. Fix: both stand in sections, as the bounds of revocation do; without them the defaults hold.

--- a/deploy/node.yaml.tpl
+++ b/deploy/node.yaml.tpl
@@ -19,8 +19,12 @@
   bound_slack: {{bounds.coldSlack}}
 rates:
   slack: {{bounds.quotaSlack}}
+{{#bounds.quotaOver}}
   overrun: {{bounds.quotaOver}}
+{{/bounds.quotaOver}}
+{{#bounds.quotaWindowS}}
   window_s: {{bounds.quotaWindowS}}
+{{/bounds.quotaWindowS}}
 {{#bounds.revokeMs}}
 revocation:
   strict: {{bounds.strictRevocation}}
