--- a/tests/http/EarlyAnswerTest.cpp
+++ b/tests/http/EarlyAnswerTest.cpp
@@ -138,6 +138,15 @@
   CHECK(result->error);
 }
 
+TEST_CASE_FIXTURE(EarlyServer,
+                  "HttpChannel, answer in chunks cut by a reset during an upload, is not complete")
+{
+  const auto result = Upload(
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9c4\r\n" + kHalf + "\r\n", End::kReset);
+  REQUIRE(result);
+  CHECK(result->error);
+}
+
 // Guards against pooling a connection on which a request was sent in part.
 TEST_CASE_FIXTURE(EarlyServer, "HttpChannel, whole answer during an upload, is not reused")
 {
