Logs and metrics tell by which evidence a refusal of an upstream was believed

On call nobody could tell a true rejection from a late copy of one, nor from a status that an upstream chose for a request that it ran: all three were 'attempt.ended code=606 reached=yes' or nothing, and an answer that belonged to another request left no line.

Now a line upstream.refusal (1509) has the status, the signs and whether the answer was believed, answer.dropped (1510) names the request that a dropped answer belonged to, and two counters stand in the metrics.

--- a/src/sidecar/Gate.cpp
+++ b/src/sidecar/Gate.cpp
@@ -50,6 +50,17 @@
          !mDelegate.isEvacuated(mState.Current().failureDomain);
 }
 
+std::string Gate::MetricsText() const
+{
+  const auto refusals = [](const char* aBelieved, std::uint64_t aCount) {
+    return std::string("mw_upstream_refusals_total{believed=\"") + aBelieved + "\"} " +
+           std::to_string(aCount) + "\n";
+  };
+  return mLatencies.Text() + refusals("yes", mBelievedRefusals) +
+         refusals("no", mDisbelievedRefusals) + "mw_upstream_answers_dropped_total " +
+         std::to_string(mDroppedAnswers) + "\n";
+}
+
 void Gate::Announce(const UpstreamAnnouncement& aAnnouncement)
 {
   if (aAnnouncement.coldRemaining.count() == 0) {
--- a/src/sidecar/Gate.h
+++ b/src/sidecar/Gate.h
@@ -12,6 +12,7 @@
 #include "sidecar/GateCall.h"
 #include "sidecar/GateCallResult.h"
 #include "sidecar/HttpNames.h"
+#include "sidecar/UpstreamRefusal.h"
 #include "sidecar/UpstreamState.h"
 
 #include <boost/asio/io_context.hpp>
@@ -91,7 +92,7 @@
   double RetryShare() const;
   const UpstreamState& State() const { return mState; }
   const UpstreamHealth& Health() const { return mHealth; }
-  std::string MetricsText() const { return mLatencies.Text(); }
+  std::string MetricsText() const;
 
 private:
   struct QueuedCall
@@ -116,6 +117,7 @@
     bool stalled = false; //!< already reported to the health tracker as a stall
     bool timedOut = false;
     bool cancelled = false;
+    std::string instance; //!< that the request expects, once it is sent
   };
 
   /** An idle connection to the upstream. */
@@ -145,6 +147,12 @@
   void OnResponse(Ticket aTicket, const ActivePtr& aActive, HttpChannelResult aResult);
   GateCallResult ClassifyResult(const ActivePtr& aActive, HttpChannelResult& aResult);
   GateCallResult ClassifyAnswer(const ActivePtr& aActive, HttpAnswer aAnswer);
+  bool BelongsTo(const std::string& aRequestId, const HttpAnswer& aAnswer);
+
+  /** Writes down by which evidence an answer that looks like a refusal was believed or not. */
+  void NoteRefusal(const ActiveCall& aActive,
+                   const RefusalSigns& aSigns,
+                   const GateCallResult& aResult);
   void Finish(Ticket aTicket, const ActivePtr& aActive, GateCallResult aResult);
   void StartQueued();
   Duration StallThreshold(const GateCall& aCall) const;
@@ -170,6 +178,9 @@
   std::shared_ptr<ByteBudget> mAnswerBytes; //!< of the answers that are not complete
   std::vector<PooledConnection> mPool;      //!< most recently used last
   LatencyHistograms mLatencies{ "mw_gate_answer_seconds" };
+  std::uint64_t mDroppedAnswers = 0;      //!< that belonged to another request
+  std::uint64_t mBelievedRefusals = 0;    //!< answers that were taken for "not run"
+  std::uint64_t mDisbelievedRefusals = 0; //!< answers that looked so and were not
   TimePoint mDownUntil{};   //!< no connection is attempted until then, after a failed one
   double mSmoothedAnswerMs; //!< exponentially smoothed time of a successful answer
   Ticket mNextTicket = 1;
--- a/src/sidecar/GateActiveCalls.cpp
+++ b/src/sidecar/GateActiveCalls.cpp
@@ -201,23 +201,64 @@
   HttpRequest request = aActive->call.request;
   request.headers.push_back(
     { mNames.remaining, std::to_string(std::max<std::int64_t>(1, left.count())) });
-  request.headers.push_back({ mNames.expectInstance, mState.Current().instance });
+  aActive->instance = mState.Current().instance;
+  request.headers.push_back({ mNames.expectInstance, aActive->instance });
   aActive->sent = true;
   const std::string& id = aActive->call.requestId;
   aActive->channel->Exchange(
     FormatRequest(request, mState.Current().address.ToString()),
     kMaxAnswerBytes,
     request.method == "HEAD",
-    [this, id](const HttpAnswer& aAnswer) {
-      const std::string_view echoed = HeaderValue(aAnswer.headers, mNames.requestId);
-      const bool success = aAnswer.status >= 200 && aAnswer.status < 300;
-      return echoed == id || (echoed.empty() && !success);
-    },
+    [this, id](const HttpAnswer& aAnswer) { return BelongsTo(id, aAnswer); },
     [this, aTicket, aActive](HttpChannelResult aResult) {
       OnResponse(aTicket, aActive, std::move(aResult));
     });
 }
 
+/** Whether an answer on the connection of a request belongs to it; others are dropped. */
+bool Gate::BelongsTo(const std::string& aRequestId, const HttpAnswer& aAnswer)
+{
+  const std::string_view echoed = HeaderValue(aAnswer.headers, mNames.requestId);
+  const bool success = aAnswer.status >= 200 && aAnswer.status < 300;
+  if (echoed == aRequestId || (echoed.empty() && !success)) {
+    return true;
+  }
+  ++mDroppedAnswers;
+  LogEvent(LogLevel::kWarn,
+           Event::kAnswerDropped,
+           { { "request", aRequestId },
+             { "instance", mState.Current().instance },
+             { "status", std::to_string(aAnswer.status) },
+             { "id", std::string(echoed) } });
+  return false;
+}
+
+void Gate::NoteRefusal(const ActiveCall& aActive,
+                       const RefusalSigns& aSigns,
+                       const GateCallResult& aResult)
+{
+  if (!aSigns.LooksLikeRefusal()) {
+    return;
+  }
+  const bool believed =
+    aResult.outcome == CallOutcome::kShed || aResult.outcome == CallOutcome::kRefused;
+  ++(believed ? mBelievedRefusals : mDisbelievedRefusals);
+  const auto took = std::chrono::duration_cast<Milliseconds>(mClock.Now() - aActive.begin);
+  const auto yesNo = [](bool aIs) { return std::string(aIs ? "yes" : "no"); };
+  LogEvent(LogLevel::kInfo,
+           Event::kUpstreamRefusal,
+           { { "request", aActive.call.requestId },
+             { "instance", aActive.instance },
+             { "status", std::to_string(aSigns.status) },
+             { "not_run", yesNo(aSigns.saysNotRun) },
+             { "signed", yesNo(aSigns.isSigned) },
+             { "own_id", yesNo(aSigns.hasOwnId) },
+             { "other_instance", yesNo(aSigns.namesAnother) },
+             { "pooled", yesNo(!aSigns.newConnection) },
+             { "believed", yesNo(believed) },
+             { "ms", std::to_string(took.count()) } });
+}
+
 void Gate::OnResponse(Ticket aTicket, const ActivePtr& aActive, HttpChannelResult aResult)
 {
   if (aResult.error && aActive->pooled) {
@@ -233,7 +274,11 @@
 {
   const TimePoint now = mClock.Now();
   if (!aResult.error) {
-    return ClassifyAnswer(aActive, std::move(aResult.answer));
+    const RefusalSigns signs = ReadRefusalSigns(
+      aResult.answer, mNames, aActive->call.requestId, aActive->instance, !aActive->pooled);
+    GateCallResult result = ClassifyAnswer(aActive, std::move(aResult.answer));
+    NoteRefusal(*aActive, signs, result);
+    return result;
   }
   LogEvent(
     LogLevel::kInfo,
--- a/src/sidecar/HttpNames.h
+++ b/src/sidecar/HttpNames.h
@@ -13,6 +13,7 @@
   std::string organisation;   //!< name of the organisation, for upstreams
   std::string callerService;  //!< service beside the node at which the request began
   std::string expectInstance; //!< instance that the request is for; other instances reject it
+  std::string instance;       //!< instance that answers; not in all answers
   std::string signature;      //!< present in each answer that an upstream generated
   std::string notRun;         //!< present if the upstream did not run the request
   std::string retryAfter;     //!< seconds, fractions allowed
--- a/tests/sidecar/LateAnswerTest.cpp
+++ b/tests/sidecar/LateAnswerTest.cpp
@@ -217,6 +217,19 @@
   CHECK(Send("q-2") == CallOutcome::kFailed);
 }
 
+TEST_CASE_FIXTURE(LateAnswerFixture,
+                  "Gate, refusals and late copies of an upstream, counted by whether believed")
+{
+  upstream.answers = { Rejection("q-1"), Success("q-2"), Rejection("") };
+  Send("q-1");
+  Send("q-2");
+  Send("q-3"); // its rejection may be a copy of an earlier one
+  const std::string text = gate.MetricsText();
+  CHECK(text.find("mw_upstream_refusals_total{believed=\"yes\"} 1\n") != std::string::npos);
+  CHECK(text.find("mw_upstream_refusals_total{believed=\"no\"} 1\n") != std::string::npos);
+  CHECK(text.find("mw_upstream_answers_dropped_total 3\n") != std::string::npos);
+}
+
 TEST_CASE("AnsweredRequests, request may still be repeated, contained until then")
 {
   AnsweredRequests requests;
