Known red: callers are told 'not run' by a status that an upstream chose

The caller gets 408, 503, 429 and 503, which promise that it has not run; after 421 the request runs at a second upstream too.

--- a/tests/sidecar/TestUpstream.h
+++ b/tests/sidecar/TestUpstream.h
@@ -62,6 +62,10 @@
       return;
     }
     headers.push_back({ "X-Response-Signature", "signed-" + instance });
+    if (ranStatus != 0) {
+      aSession->Answer({ ranStatus, headers, "" });
+      return;
+    }
     const std::string body =
       largeAnswer ? std::string(kLargeAnswerBytes, 'l') : "answer of " + instance;
     aSession->Answer({ error ? 500U : 200U, headers, body });
@@ -78,6 +82,7 @@
   bool error = false;
   bool wrongId = false;
   bool largeAnswer = false;
+  unsigned ranStatus = 0; //!< status of the answer to a request that was run; 0: 200
 
   static constexpr std::size_t kLargeAnswerBytes = 12U << 20; //!< more than the kernel's buffers
 };
