An upstream's answer counts as 'not run' only if it shows that

Callers saw 408, 429 or 503, which promise that a request has not run, for unsafe requests that an upstream had run and answered with that status itself; after a 421 of this kind the request ran at a second upstream as well.

Cause: 421 counted as not run by its status alone, and any other answer below 500, and 5xx of an unsafe request, were passed on with the status that the upstream chose, though for callers these four statuses are the fleet's word. The same class as the late copy of a rejection: an answer was believed that does not show what it was taken to show.

Fix: one pure decision, JudgeRefusal(), over what an answer shows: the upstream's word, the signature, the id, whether the connection carried requests before, the instance that it names. What looks like a refusal and shows nothing counts as 'may have run': safe requests are repeated, others end with 502.

--- a/src/sidecar/Gate.h
+++ b/src/sidecar/Gate.h
@@ -146,7 +146,9 @@
   void SendRequest(Ticket aTicket, const ActivePtr& aActive);
   void OnResponse(Ticket aTicket, const ActivePtr& aActive, HttpChannelResult aResult);
   GateCallResult ClassifyResult(const ActivePtr& aActive, HttpChannelResult& aResult);
-  GateCallResult ClassifyAnswer(const ActivePtr& aActive, HttpAnswer aAnswer);
+  GateCallResult ClassifyAnswer(const ActivePtr& aActive,
+                                HttpAnswer aAnswer,
+                                RefusalVerdict aVerdict);
   bool BelongsTo(const std::string& aRequestId, const HttpAnswer& aAnswer);
 
   /** Writes down by which evidence an answer that looks like a refusal was believed or not. */
--- a/src/sidecar/GateActiveCalls.cpp
+++ b/src/sidecar/GateActiveCalls.cpp
@@ -27,7 +27,6 @@
 constexpr std::size_t kMaxPooled = 16;
 constexpr std::size_t kMaxAnswerBytes = 16U << 20;
 
-constexpr unsigned kWrongInstance = 421;
 constexpr unsigned kFirstServerError = 500;
 
 /** Weight of the newest answer in the smoothed answer time. */
@@ -276,7 +275,7 @@
   if (!aResult.error) {
     const RefusalSigns signs = ReadRefusalSigns(
       aResult.answer, mNames, aActive->call.requestId, aActive->instance, !aActive->pooled);
-    GateCallResult result = ClassifyAnswer(aActive, std::move(aResult.answer));
+    GateCallResult result = ClassifyAnswer(aActive, std::move(aResult.answer), JudgeRefusal(signs));
     NoteRefusal(*aActive, signs, result);
     return result;
   }
@@ -312,33 +311,33 @@
   return result;
 }
 
-GateCallResult Gate::ClassifyAnswer(const ActivePtr& aActive, HttpAnswer aAnswer)
+GateCallResult Gate::ClassifyAnswer(const ActivePtr& aActive,
+                                    HttpAnswer aAnswer,
+                                    RefusalVerdict aVerdict)
 {
   const TimePoint now = mClock.Now();
   const auto took = now - aActive->begin;
   GateCallResult result;
   result.reached = true;
   const bool isSigned = FindHeader(aAnswer.headers, mNames.signature) != nullptr;
-  const bool notRun =
-    FindHeader(aAnswer.headers, mNames.notRun) != nullptr || aAnswer.status == kWrongInstance;
-  if (notRun && aActive->pooled && HeaderValue(aAnswer.headers, mNames.requestId).empty()) {
-    // It may be a late copy of the answer to an earlier request.
-    result.outcome = CallOutcome::kFailed;
-    result.reason = ResultCode::kUpstreamFailed;
-    mHealth.OnHardFailure(now);
-    return result;
-  }
-  if (notRun) {
-    result.outcome = CallOutcome::kShed;
-    result.reason = ResultCode::kGateShed;
-    if (aAnswer.status == kWrongInstance) {
+  switch (aVerdict) {
+    case RefusalVerdict::kNoRefusal:
+      break;
+    case RefusalVerdict::kNotRun:
+      mHealth.OnHardFailure(now);
+      result.outcome = CallOutcome::kShed;
+      result.reason = ResultCode::kGateShed;
+      return result;
+    case RefusalVerdict::kWrongInstance:
       mState.OnWrongInstance();
       result.outcome = CallOutcome::kRefused; // no upstream started the request
       result.reason = ResultCode::kGateUpstreamUnknown;
-    } else {
-      mHealth.OnHardFailure(now);
-    }
-    return result;
+      return result;
+    case RefusalVerdict::kMayHaveRun:
+      mHealth.OnError(now);
+      result.outcome = CallOutcome::kFailed;
+      result.reason = ResultCode::kUpstreamFailed;
+      return result;
   }
   const bool success = aAnswer.status < kFirstServerError;
   if (aAnswer.status >= 200 && aAnswer.status < 300 && !isSigned) {
--- a/src/sidecar/UpstreamRefusal.cpp
+++ b/src/sidecar/UpstreamRefusal.cpp
@@ -6,6 +6,18 @@
 #include <array>
 
 namespace mustardwinch {
+namespace {
+
+constexpr unsigned kMisdirected = 421;
+constexpr unsigned kFirstFailure = 400;
+
+/** The answer of an instance that has the address of the one that was expected. */
+bool IsFromAnotherInstance(const RefusalSigns& aSigns)
+{
+  return aSigns.status == kMisdirected && !aSigns.isSigned && !aSigns.namesExpected;
+}
+
+} // namespace
 
 bool IsRefusalStatus(unsigned aStatus)
 {
@@ -32,4 +44,20 @@
   return signs;
 }
 
+RefusalVerdict JudgeRefusal(const RefusalSigns& aSigns)
+{
+  if (!aSigns.LooksLikeRefusal()) {
+    return RefusalVerdict::kNoRefusal;
+  }
+  // Without an id it may be a late copy of the answer to an earlier request.
+  const bool isOwn = aSigns.hasOwnId || aSigns.newConnection;
+  if (!isOwn || aSigns.status < kFirstFailure) {
+    return RefusalVerdict::kMayHaveRun;
+  }
+  if (IsFromAnotherInstance(aSigns)) {
+    return RefusalVerdict::kWrongInstance;
+  }
+  return aSigns.saysNotRun ? RefusalVerdict::kNotRun : RefusalVerdict::kMayHaveRun;
+}
+
 } // namespace mustardwinch
--- a/src/sidecar/UpstreamRefusal.h
+++ b/src/sidecar/UpstreamRefusal.h
@@ -3,6 +3,7 @@
 #include "http/HttpAnswer.h"
 #include "sidecar/HttpNames.h"
 
+#include <cstdint>
 #include <string>
 
 namespace mustardwinch {
@@ -27,6 +28,15 @@
   bool LooksLikeRefusal() const { return saysNotRun || IsRefusalStatus(status); }
 };
 
+/** What to make of an answer. */
+enum class RefusalVerdict : std::uint8_t
+{
+  kNoRefusal,     //!< it tells how the request ended
+  kNotRun,        //!< the upstream did not run the request and never will
+  kWrongInstance, //!< another instance has the address; it did not run the request either
+  kMayHaveRun,    //!< it looks like a refusal, but nothing shows that the request was not run
+};
+
 /** @param aInstance the instance that the request expected */
 RefusalSigns ReadRefusalSigns(const HttpAnswer& aAnswer,
                               const HttpNames& aNames,
@@ -34,4 +44,10 @@
                               const std::string& aInstance,
                               bool aNewConnection);
 
+/**
+ * Decides whether an answer shows that its request was not run. A status alone shows nothing: an
+ * upstream may choose any for a request that it ran.
+ */
+RefusalVerdict JudgeRefusal(const RefusalSigns& aSigns);
+
 } // namespace mustardwinch
--- a/tests/sidecar/LateAnswerTest.cpp
+++ b/tests/sidecar/LateAnswerTest.cpp
@@ -217,6 +217,15 @@
   CHECK(Send("q-2") == CallOutcome::kFailed);
 }
 
+// Servers write such an answer before they close an idle connection.
+TEST_CASE_FIXTURE(LateAnswerFixture,
+                  "Gate, 408 without an id on a kept connection, the request may have run")
+{
+  upstream.answers = { Success("q-1"), Answer("408 Request Timeout", "") };
+  CHECK(Send("q-1") == CallOutcome::kAnswered);
+  CHECK(Send("q-2") == CallOutcome::kFailed);
+}
+
 TEST_CASE_FIXTURE(LateAnswerFixture,
                   "Gate, refusals and late copies of an upstream, counted by whether believed")
 {
