mwnode: a lost attempt outweighs a later one that was refused

Callers of mwnode were told 503, 'not-run', for an idempotent request whose first attempt had run and lost its answer, when the next attempt was shed.

Cause: Forwarder kept the code of the last attempt only.

--- a/src/ingress/Forwarder.cpp
+++ b/src/ingress/Forwarder.cpp
@@ -24,6 +24,13 @@
   return std::find(kMethods.begin(), kMethods.end(), aMethod) != kMethods.end();
 }
 
+/** The result of several attempts: one that may have run outweighs later ones that did not. */
+ResultCode CombineResults(ResultCode aEarlier, ResultCode aLast)
+{
+  const bool lastNotRun = OutcomeOf(aLast) == Outcome::kNotRun;
+  return lastNotRun && OutcomeOf(aEarlier) != Outcome::kNotRun ? aEarlier : aLast;
+}
+
 std::string MakeIdPrefix(const std::string& aVmName)
 {
   std::random_device device;
@@ -148,8 +155,8 @@
     tried.push_back(upstream->upstream);
     const AttemptResult result = RunAttempt(aExchange, aRequest, *upstream);
     mParts.picker.Report(*upstream, result);
-    code = result.code;
-    if (code == ResultCode::kOk) {
+    code = attempts == 1 ? result.code : CombineResults(code, result.code);
+    if (result.code == ResultCode::kOk) {
       mParts.retries.OnAnswer(head.service, result.total);
       return;
     }
@@ -159,7 +166,7 @@
     LogEvent(LogLevel::kDebug,
              Event::kRequestRetried,
              { { "upstream", upstream->upstream.ToString() },
-               { "code", std::to_string(static_cast<int>(code)) } });
+               { "code", std::to_string(static_cast<int>(result.code)) } });
   }
   if (aExchange.HeadWritten()) {
     LogEvent(LogLevel::kWarn, Event::kAnswerCutVisible, { { "request", head.requestId } });
--- a/tests/ingress/DataPathTest.cpp
+++ b/tests/ingress/DataPathTest.cpp
@@ -385,6 +385,27 @@
   CHECK(Says(answer, ResultCode::kGateConnectFailed, "not-run"));
 }
 
+// Guards against telling a caller "not run" by the last attempt alone.
+TEST_CASE_FIXTURE(OneNode,
+                  "Data path, one attempt lost and the next one shed, is told as unknown")
+{
+  std::atomic<int> attempts{ 0 };
+  const auto answer = [&](mg_connection* aConnection, const mg_request_info*) {
+    if (++attempts == 1) {
+      mg_disable_connection_keep_alive(aConnection); // it ran, and its answer is lost
+      return;
+    }
+    mg_printf(aConnection,
+              "HTTP/1.1 503 Service Unavailable\r\nX-Shed: 1\r\nContent-Length: 0\r\n\r\n");
+  };
+  TestUpstream one(kUpstreamOne, answer);
+  TestUpstream two(kUpstreamTwo, answer);
+  Announce(kUpstreamOne);
+  Announce(kUpstreamTwo);
+  CHECK(Says(Call("GET", "/open", {}), ResultCode::kUpstreamFailed, "unknown"));
+  CHECK(attempts >= 2);
+}
+
 TEST_CASE_FIXTURE(OneNode,
                   "Data path, gate that cannot be reached, is told as not run and as a failed path")
 {
