mwnode: a request sent on a kept connection is not told as not run

Callers of mwnode were told 503, 'not-run', for an idempotent request that an upstream had read: the kept connection closed without an answer, and the new connection for the second transfer was refused.

Cause: whether the request was sent was kept for one transfer, and the result was told by the last one. Now it is kept for the call.

Evidence: 'Data path, kept connection closes after the request and no other can be had, ...' fails before (3 of 3 runs, x86_64) and passes after it (3 of 3), as the other cases of the data path do.

--- a/src/gate/UpstreamCall.cpp
+++ b/src/gate/UpstreamCall.cpp
@@ -177,8 +177,8 @@
     curl_easy_getinfo(easy, CURLINFO_NUM_CONNECTS, &connects);
     long sent = 0;
     curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &sent);
-    aTransfer.requestSent = sent > 0;
-    aTransfer.pooled = aTransfer.requestSent && connects == 0;
+    mRequestSent = mRequestSent || sent > 0;
+    aTransfer.pooled = sent > 0 && connects == 0;
     int left = 0;
     while (CURLMsg* message = curl_multi_info_read(multi, &left)) {
       if (message->msg == CURLMSG_DONE) {
@@ -313,7 +313,7 @@
   if (mStream->ResetCode()) {
     return ResultCode::kCallerGone;
   }
-  if (!aTransfer.requestSent) {
+  if (!mRequestSent) {
     const bool late = SteadyNow() >= mDeadline;
     return late ? ResultCode::kDeadlineBeforeRun : ResultCode::kGateConnectFailed;
   }
--- a/src/gate/UpstreamCall.h
+++ b/src/gate/UpstreamCall.h
@@ -41,7 +41,6 @@
   {
     CURLcode code = CURLE_OK;
     bool pooled = false;
-    bool requestSent = false;
   };
 
   Transfer RunTransfer(bool aFreshConnection);
@@ -66,6 +65,7 @@
   std::unique_ptr<curl_slist, decltype(&curl_slist_free_all)> mHeaderList;
 
   GateResponseHead mResponse;
+  bool mRequestSent = false; //!< in any transfer, at least in part
   bool mHeadForwarded = false;
   bool mShed = false;
   std::optional<TimePoint> mFirstByte;
--- a/tests/ingress/DataPathTest.cpp
+++ b/tests/ingress/DataPathTest.cpp
@@ -386,8 +386,7 @@
 }
 
 // Guards against telling a caller "not run" by the last attempt alone.
-TEST_CASE_FIXTURE(OneNode,
-                  "Data path, one attempt lost and the next one shed, is told as unknown")
+TEST_CASE_FIXTURE(OneNode, "Data path, one attempt lost and the next one shed, is told as unknown")
 {
   std::atomic<int> attempts{ 0 };
   const auto answer = [&](mg_connection* aConnection, const mg_request_info*) {
@@ -406,6 +405,20 @@
   CHECK(attempts >= 2);
 }
 
+// Guards against forgetting a request that was sent on a kept connection once no new one can be
+// had.
+TEST_CASE_FIXTURE(OneNode,
+                  "Data path, kept connection closes after the request and no other can be had, is "
+                  "told as unknown")
+{
+  test::KeptConnectionUpstream upstream(kUpstreamOne,
+                                        { "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok" });
+  Announce(kUpstreamOne);
+  CHECK(Call("GET", "/open", {}).status == 200);
+  CHECK(Says(Call("GET", "/open", {}), ResultCode::kUpstreamFailed, "unknown"));
+  CHECK(upstream.Requests() == 2);
+}
+
 TEST_CASE_FIXTURE(OneNode,
                   "Data path, gate that cannot be reached, is told as not run and as a failed path")
 {
--- a/tests/ingress/RawUpstream.h
+++ b/tests/ingress/RawUpstream.h
@@ -5,11 +5,14 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 
 #include <array>
+#include <atomic>
 #include <string>
 #include <thread>
+#include <vector>
 
 namespace mustardwinch::test {
 
@@ -47,4 +50,51 @@
   std::thread mThread;
 };
 
+/** An upstream that answers requests on one kept connection with given bytes, in order. After the
+ * last ones it stops listening, reads one more request and closes. Runs on its own thread. */
+class KeptConnectionUpstream
+{
+public:
+  KeptConnectionUpstream(const Address& aAddress, std::vector<std::string> aAnswers)
+    : mAcceptor(mLoop, { boost::asio::ip::address_v4(aAddress.ip), aAddress.port })
+    , mThread([this, answers = std::move(aAnswers)] { Serve(answers); })
+  {
+  }
+
+  ~KeptConnectionUpstream() { mThread.join(); }
+  KeptConnectionUpstream(const KeptConnectionUpstream&) = delete;
+  KeptConnectionUpstream& operator=(const KeptConnectionUpstream&) = delete;
+
+  /** Requests without a body that were read. */
+  int Requests() const { return mRequests; }
+
+private:
+  void Serve(const std::vector<std::string>& aAnswers)
+  {
+    boost::asio::ip::tcp::socket socket(mLoop);
+    boost::system::error_code ec;
+    mAcceptor.accept(socket, ec);
+    mAcceptor.close(ec);
+    for (const std::string& it : aAnswers) {
+      ReadRequest(socket);
+      boost::asio::write(socket, boost::asio::buffer(it), ec);
+    }
+    ReadRequest(socket);
+  }
+
+  void ReadRequest(boost::asio::ip::tcp::socket& aSocket)
+  {
+    boost::system::error_code ec;
+    mInput.erase(
+      0, boost::asio::read_until(aSocket, boost::asio::dynamic_buffer(mInput), "\r\n\r\n", ec));
+    mRequests += ec ? 0 : 1;
+  }
+
+  boost::asio::io_context mLoop;
+  boost::asio::ip::tcp::acceptor mAcceptor;
+  std::string mInput;
+  std::atomic<int> mRequests{ 0 };
+  std::thread mThread;
+};
+
 } // namespace mustardwinch::test
