Results of gates promise 'not run' only by an outcome that says so

While gates of an older version are in the fleet, an ingress still passed on the status that an upstream chose: the old gate reports it as an answer. An outcome number that this version does not know ended no attempt at all.

Cause: the ingress trusted each word of a result message.

--- a/src/sidecar/CallCodec.cpp
+++ b/src/sidecar/CallCodec.cpp
@@ -1,5 +1,7 @@
 #include "sidecar/CallCodec.h"
 
+#include "sidecar/UpstreamRefusal.h"
+
 #include <utility>
 
 namespace mustardwinch {
@@ -25,6 +27,19 @@
   return headers;
 }
 
+bool IsKnownOutcome(std::uint8_t aNumber)
+{
+  return aNumber <= static_cast<std::uint8_t>(CallOutcome::kTimedOut);
+}
+
+/** A gate of an older version passes on statuses that callers would take for the fleet's refusal.
+ */
+bool IsUnprovenRefusal(const CallResultMessage& aMessage)
+{
+  return static_cast<CallOutcome>(aMessage.outcome) == CallOutcome::kAnswered &&
+         IsRefusalStatus(aMessage.status);
+}
+
 } // namespace
 
 CallMessage ToMessage(const GateCall& aCall)
@@ -87,6 +102,14 @@
 GateCallResult FromMessage(CallResultMessage aMessage)
 {
   GateCallResult result;
+  if (!IsKnownOutcome(aMessage.outcome) || IsUnprovenRefusal(aMessage)) {
+    result.outcome = CallOutcome::kFailed;
+    result.reason = ResultCode::kUpstreamFailed;
+    result.reached = true;
+    result.running = aMessage.running;
+    result.queued = aMessage.queued;
+    return result;
+  }
   result.outcome = static_cast<CallOutcome>(aMessage.outcome);
   if (aMessage.reason != 0) {
     result.reason = ResultCodeFromNumber(aMessage.reason);
