The watch duty goes to a VM that reaches the store

A version acknowledged at 7.2 s was in force nowhere before 12.3 s.

Cause: one VM of each failure domain polls the store for the others, which wait up to 30 s. It is chosen among all live VMs. From 1 s to 13 s the four chosen ones were cut off from the store alone, so they stayed live and kept the duty; at 7 s the store lost its history, and the long watches brought nothing either.

Ruled out: the pull between peers (no peer had the version; 'config.applied' from the store first at 12.26 s at nodes that had just started); the order of versions.

Fix: a gate's status tells whether its node reaches the store, and the duty goes to the first VM that does, or to the first of all if none does. Nodes of older versions count as reaching it.

--- a/src/fleet/FleetMessage.h
+++ b/src/fleet/FleetMessage.h
@@ -75,6 +75,7 @@
   std::string vm;          //!< of the node that answers; its address may have been another's before
   std::string service;     //!< of the upstream; empty if the gate does not know it yet
   std::uint32_t ageMs = 0; //!< since the node's process started
+  bool reachesStore = true;
   MSGPACK_DEFINE(available,
                  trust,
                  running,
@@ -87,7 +88,8 @@
                  leaving,
                  vm,
                  service,
-                 ageMs)
+                 ageMs,
+                 reachesStore)
 };
 
 /** Load of a gate whose state has not changed. Sent with each heartbeat, so it holds no text. */
--- a/src/fleet/FleetServer.cpp
+++ b/src/fleet/FleetServer.cpp
@@ -21,7 +21,7 @@
   return aOne.available == aTwo.available && aOne.trust == aTwo.trust && aOne.slots == aTwo.slots &&
          aOne.configVersion == aTwo.configVersion &&
          aOne.evacuationsRevision == aTwo.evacuationsRevision && aOne.leaving == aTwo.leaving &&
-         aOne.service == aTwo.service;
+         aOne.service == aTwo.service && aOne.reachesStore == aTwo.reachesStore;
 }
 
 } // namespace
--- a/src/fleet/PeerLink.cpp
+++ b/src/fleet/PeerLink.cpp
@@ -355,6 +355,7 @@
   }
   mOtherNode = false;
   mBegan = mClock.Now() - Milliseconds(aStatus.ageMs);
+  mReachesStore = aStatus.reachesStore;
   if (mView.pathSuspected && mHeard) {
     mView.pathSuspected = false;
     mDownSince = {};
--- a/src/fleet/PeerLink.h
+++ b/src/fleet/PeerLink.h
@@ -102,6 +102,9 @@
   TimePoint DownSince() const { return mDownSince; }
   const std::string& LeavingInstance() const { return mLeaving; }
 
+  /** The peer's calls to the store are answered, as it last told. */
+  bool ReachesStore() const { return mReachesStore; }
+
   /** When the peer's process started, as it last told. */
   TimePoint Began() const { return mBegan; }
 
@@ -147,7 +150,8 @@
   std::uint64_t mNext = 1;
   std::uint64_t mDial = 0; //!< number of the latest dial
   bool mDialling = false;
-  bool mHeard = false;     //!< a status came on the present connection
+  bool mHeard = false; //!< a status came on the present connection
+  bool mReachesStore = true;
   bool mOtherNode = false; //!< the address answers for another VM
   bool mClosed = false;
 };
--- a/src/sidecar/SidecarNode.h
+++ b/src/sidecar/SidecarNode.h
@@ -67,6 +67,7 @@
   KindWatcher::Handlers ConfigHandlers();
   KindWatcher::Handlers EvacuationHandlers();
   KindWatcher::Handlers MemberHandlers();
+  bool ReachesStore() const;
   void OnStoreReachable(StoredKind aKind, bool aReachable, const std::string& aDetail);
   /** Updates the rate token brokers with the VMs that are alive now. */
   void UpdateRateFleet();
--- a/src/sidecar/SidecarNodeLinks.cpp
+++ b/src/sidecar/SidecarNodeLinks.cpp
@@ -114,6 +114,7 @@
   status.evacuationsRevision = mState.EvacuationsRevision();
   status.leaving = mGate.State().LeavingInstance();
   status.vm = mSettings.vmName;
+  status.reachesStore = ReachesStore();
   status.service = mGate.State().IsKnown() ? mGate.State().Current().service : std::string();
   const auto age = std::chrono::duration_cast<Milliseconds>(mClock.Now() - mStartTime);
   status.ageMs = static_cast<std::uint32_t>(
--- a/src/sidecar/SidecarNodeStore.cpp
+++ b/src/sidecar/SidecarNodeStore.cpp
@@ -1,7 +1,7 @@
 #include "sidecar/SidecarNode.h"
 
 #include "mustardwinch/Event.h"
-#include "quota/RateOwner.h"
+#include "sidecar/WatchDuty.h"
 
 #include <algorithm>
 #include <utility>
@@ -9,9 +9,7 @@
 namespace mustardwinch {
 namespace {
 
-// One node of each failure domain polls the store often and informs the others, so that a large
-// configuration is fetched within the domain.
-constexpr std::size_t kWatchersPerDomain = 1;
+// Waits of the node that has the watch duty, and of the others; see WatchDuty.h.
 constexpr Milliseconds kWatcherWait{ 1'300 };
 constexpr Milliseconds kNonWatcherWait{ 30'000 };
 
@@ -100,6 +98,12 @@
   mLinks.Announce();
 }
 
+bool SidecarNode::ReachesStore() const
+{
+  const auto it = mReachable.find(StoredKind::kConfig);
+  return it == mReachable.end() || it->second;
+}
+
 /** Until the links are up, each node would take itself for the one that polls for its failure
  * domain, and a fleet that starts would ask the store for the newest state from all nodes at once.
  */
@@ -117,13 +121,13 @@
 
 void SidecarNode::ConfigureWatchers()
 {
-  std::vector<std::string> near{ mSettings.vmName };
+  std::vector<WatchCandidate> near{ { mSettings.vmName, ReachesStore() } };
   for (const auto& [vm, link] : mLinks.All()) {
     if (link->IsLive() && link->Member().failureDomain == mSettings.failureDomain) {
-      near.push_back(vm);
+      near.push_back({ vm, link->ReachesStore() });
     }
   }
-  const bool watcher = RankFor("watch", near, mSettings.vmName) < kWatchersPerDomain;
+  const bool watcher = HasWatchDuty(near, mSettings.vmName);
   const Milliseconds wait = watcher ? kWatcherWait : kNonWatcherWait;
   const Freshness freshness = watcher ? Freshness::kNewest : Freshness::kMayLag;
   mEvacuationWatcher.SetWait(wait, freshness);
