A gate without a configuration starts no request

Fix: the bound is optional. While the node has no configuration its gate isn't available and refuses as not run; peers send elsewhere. A service that a known configuration lacks has no bound, as before.

Open: the same gate doesn't know the evacuations either.

--- a/src/sidecar/Gate.cpp
+++ b/src/sidecar/Gate.cpp
@@ -47,6 +47,7 @@
 bool Gate::IsAvailable() const
 {
   return mAccepting && mState.IsAvailable() && mClock.Now() >= mDownUntil &&
+         mDelegate.coldRequestsPerSecond(mState.Current().service) &&
          !mDelegate.isEvacuated(mState.Current().failureDomain);
 }
 
@@ -102,6 +103,9 @@
   if (!mState.IsKnown() || mState.Current().service != aCall.service) {
     return ResultCode::kGateUpstreamUnknown;
   }
+  if (!mDelegate.coldRequestsPerSecond(aCall.service)) {
+    return ResultCode::kGateUpstreamUnknown; // nor what it bears
+  }
   if (!mState.IsAvailable()) {
     return ResultCode::kGateDraining;
   }
@@ -157,7 +161,7 @@
 
 double Gate::StartsPerSecond(const std::string& aService) const
 {
-  const double coldCapacity = mDelegate.coldRequestsPerSecond(aService);
+  const double coldCapacity = mDelegate.coldRequestsPerSecond(aService).value_or(0);
   return mCold.StartsPerSecond(coldCapacity, mState.IsCold(mClock.Now()));
 }
 
--- a/src/sidecar/Gate.h
+++ b/src/sidecar/Gate.h
@@ -22,6 +22,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace mustardwinch {
@@ -40,7 +41,9 @@
   /** Configuration lookups and notifications that the node provides. */
   struct Delegate
   {
-    std::function<double(const std::string& aService)> coldRequestsPerSecond;
+    /** Requests per second that a cold upstream of a service bears; 0: no limit. Nothing while the
+     * node has no configuration: the gate starts no request then. */
+    std::function<std::optional<double>(const std::string& aService)> coldRequestsPerSecond;
     std::function<bool(const std::string& aFailureDomain)> isEvacuated;
     /** The availability or the trust changed. @param aForAll false: only nodes of the same failure
      * domain need to know */
--- a/src/sidecar/SidecarNodeGates.cpp
+++ b/src/sidecar/SidecarNodeGates.cpp
@@ -33,9 +33,12 @@
 Gate::Delegate SidecarNode::MakeGateDelegate()
 {
   Gate::Delegate delegate;
-  delegate.coldRequestsPerSecond = [this](const std::string& aService) {
+  delegate.coldRequestsPerSecond = [this](const std::string& aService) -> std::optional<double> {
     const auto routing = mState.Routing();
-    const TrafficService* service = routing ? routing->FindService(aService) : nullptr;
+    if (!routing) {
+      return std::nullopt;
+    }
+    const TrafficService* service = routing->FindService(aService);
     return service != nullptr ? service->coldRequestsPerSecond : 0.0;
   };
   delegate.isEvacuated = [this](const std::string& aDomain) { return mState.IsEvacuated(aDomain); };
--- a/tests/sidecar/GateTest.cpp
+++ b/tests/sidecar/GateTest.cpp
@@ -16,9 +16,11 @@
 {
   GateFixture() { gate.Announce({ "i-0", "booking", upstream.address, "a", 1, false, 1'000, 1 }); }
 
-  static Gate::Delegate MakeDelegate()
+  Gate::Delegate MakeDelegate() const
   {
-    return { [](const std::string&) { return 0.0; },
+    return { [this](const std::string&) -> std::optional<double> {
+              return configured ? std::optional(0.0) : std::nullopt;
+            },
              [](const std::string&) { return false; },
              [](bool) {} };
   }
@@ -77,6 +79,7 @@
              ColdSettings{},
              MakeDelegate() };
   int bodiesWanted = 0;
+  bool configured = true;
   std::optional<GateCallResult> first;
   std::optional<GateCallResult> second;
 
@@ -172,3 +175,21 @@
   REQUIRE(first);
   CHECK(first->outcome == CallOutcome::kAnswered);
 }
+
+// Guards against a cold upstream without a bound, beside a node that has just started and reaches
+// neither the store nor a peer.
+TEST_CASE_FIXTURE(GateFixture, "Gate, no configuration yet, starts nothing and is not available")
+{
+  configured = false;
+  CHECK_FALSE(gate.IsAvailable());
+  Submit("q-1", Seconds(2), first);
+  REQUIRE(first);
+  CHECK(first->outcome == CallOutcome::kRefused);
+  CHECK(first->reason == ResultCode::kGateUpstreamUnknown);
+  configured = true;
+  CHECK(gate.IsAvailable());
+  Submit("q-2", Seconds(2), second);
+  RunUntil([&] { return second.has_value(); });
+  REQUIRE(second);
+  CHECK(second->outcome == CallOutcome::kAnswered);
+}
