A rejection of a request for an earlier instance leaves the gate in use

Callers would see every request refused at one gate for good: a request for the instance before was under way when a new one at the same address announced itself. The new one rightly answered 421, and the gate took the new one for the wrong instance until yet another one announced itself.

Cause: OnWrongInstance() marks the instance that is current when the answer comes, not the one that the request expected. Ruled out: a later announcement of the same instance clears the mark only if it is taken as a replacement.

Evidence: 'Gate, new instance rejects a request for the one before, ...' fails before (not available, the next request refused) and passes after it; one run each, x86_64.

--- a/src/sidecar/GateActiveCalls.cpp
+++ b/src/sidecar/GateActiveCalls.cpp
@@ -329,7 +329,9 @@
       result.reason = ResultCode::kGateShed;
       return result;
     case RefusalVerdict::kWrongInstance:
-      mState.OnWrongInstance();
+      if (aActive->instance == mState.Current().instance) { // else a later one has announced itself
+        mState.OnWrongInstance();
+      }
       result.outcome = CallOutcome::kRefused; // no upstream started the request
       result.reason = ResultCode::kGateUpstreamUnknown;
       return result;
--- a/tests/sidecar/LateAnswerTest.cpp
+++ b/tests/sidecar/LateAnswerTest.cpp
@@ -129,23 +129,33 @@
 
   /** Sends a request and waits for its result. */
   GateCallResult Call(const std::string& aId, bool aIdempotent)
+  {
+    Submit(aId, aIdempotent);
+    RunUntil([this] { return result.has_value(); });
+    REQUIRE(result);
+    return std::move(*result);
+  }
+
+  void Submit(const std::string& aId, bool aIdempotent, Milliseconds aRemaining = Seconds(4))
   {
     GateCall call;
     call.requestId = aId;
     call.service = "booking";
     call.request = { "POST", "/x", { { "X-Request-Id", aId } }, "" };
-    call.remaining = Seconds(4);
+    call.remaining = aRemaining;
     call.latencyTarget = Seconds(1);
     call.idempotent = aIdempotent;
     call.lastResort = true;
-    std::optional<GateCallResult> result;
-    gate.Submit(std::move(call), [&](GateCallResult aResult) { result = std::move(aResult); });
+    result.reset();
+    gate.Submit(std::move(call), [this](GateCallResult aResult) { result = std::move(aResult); });
+  }
+
+  void RunUntil(const std::function<bool()>& aDone)
+  {
     const auto end = std::chrono::steady_clock::now() + Seconds(5);
-    while (!result && std::chrono::steady_clock::now() < end) {
+    while (!aDone() && std::chrono::steady_clock::now() < end) {
       loop.run_one_for(Milliseconds(10));
     }
-    REQUIRE(result);
-    return std::move(*result);
   }
 
   CallOutcome Send(const std::string& aId) { return Call(aId, false).outcome; }
@@ -157,6 +167,7 @@
 
   boost::asio::io_context loop{ 1 };
   Clock clock;
+  std::optional<GateCallResult> result; //!< of the last request
   ScriptedUpstream upstream{ loop };
   Gate gate{ loop,
              clock,
@@ -239,6 +250,24 @@
   CHECK(text.find("mw_upstream_answers_dropped_total 3\n") != std::string::npos);
 }
 
+// Guards against a gate that refuses all requests for good: a request for the instance before was
+// under way when the new one announced itself, and the new one rightly rejects it.
+TEST_CASE_FIXTURE(LateAnswerFixture,
+                  "Gate, new instance rejects a request for the one before, stays in use")
+{
+  upstream.answers = { Answer("421 Misdirected", IdOf("q-1") + "X-Not-Executed: 1\r\n"),
+                       Success("q-2") };
+  Submit("q-1", false);
+  RunUntil([this] { return upstream.answers.size() == 1; });
+  REQUIRE_FALSE(result);
+  gate.Announce({ "i-1", "booking", upstream.address, "a", 1, false, 2'000, 1 });
+  RunUntil([this] { return result.has_value(); });
+  REQUIRE(result);
+  CHECK(result->outcome == CallOutcome::kRefused);
+  CHECK(gate.IsAvailable());
+  CHECK(Send("q-2") == CallOutcome::kAnswered);
+}
+
 TEST_CASE("AnsweredRequests, request may still be repeated, contained until then")
 {
   AnsweredRequests requests;
