A repeat that comes late does not meet the copy of its earlier rejection

A caller could be told 503 for an unsafe request that runs: the upstream had rejected it once, the frame of the repeat reached the gate after the deadline of the first sending, and the late copy of the rejection was taken for the answer to the repeat.

Cause: AnsweredRequests kept the request until the gate's deadline, but the ingress still takes results 40 ms after its own, and later if its process was paused. The gate now keeps it two seconds longer.

Evidence: 'Gate, repeat that comes after the first deadline, ...' fails before (kShed) and passes after it; one run each, x86_64. Not seen in a fleet. A pause of both processes for longer than two seconds is not covered.

--- a/src/sidecar/GateActiveCalls.cpp
+++ b/src/sidecar/GateActiveCalls.cpp
@@ -32,6 +32,10 @@
 /** Weight of the newest answer in the smoothed answer time. */
 constexpr double kAnswerTimeWeight = 0.1;
 
+/** An ingress waits a moment beyond its deadline, and a link may deliver a repeat late: that long
+ * after its deadline a request may still come again. */
+constexpr Milliseconds kLateRepeat{ 2'000 };
+
 /** A body takes 50 ms on a link of 10 Mbit/s; after this time the ingress or the network path has
  * failed. */
 constexpr Milliseconds kBodyTimeout{ 1'000 };
@@ -72,7 +76,8 @@
   const bool mayBeRepeated =
     aOutcome.outcome != CallOutcome::kAnswered || aOutcome.answer.status >= kFirstServerError;
   const bool remembered =
-    !mayBeRepeated || aActive.answered.Add(now, aActive.call.requestId, aActive.deadline);
+    !mayBeRepeated ||
+    aActive.answered.Add(now, aActive.call.requestId, aActive.deadline + kLateRepeat);
   if (!aResult.reusable || !remembered || mPool.size() >= kMaxPooled) {
     channel->Close();
     return;
--- a/tests/sidecar/LateAnswerTest.cpp
+++ b/tests/sidecar/LateAnswerTest.cpp
@@ -250,6 +250,20 @@
   CHECK(text.find("mw_upstream_answers_dropped_total 3\n") != std::string::npos);
 }
 
+// Guards against believing a late copy of a rejection when the frame of the repeat was late as
+// well: the ingress still waits for a moment after its deadline.
+TEST_CASE_FIXTURE(LateAnswerFixture,
+                  "Gate, repeat that comes after the first deadline, late copy is not its answer")
+{
+  upstream.answers = { Rejection("q-1"), Success("q-1") };
+  constexpr Milliseconds kRemaining{ 100 };
+  Submit("q-1", false, kRemaining);
+  RunUntil([this] { return result.has_value(); });
+  const TimePoint late = clock.Now() + kRemaining + Milliseconds(20);
+  RunUntil([&] { return clock.Now() >= late; });
+  CHECK(Send("q-1") == CallOutcome::kAnswered);
+}
+
 // Guards against a gate that refuses all requests for good: a request for the instance before was
 // under way when the new one announced itself, and the new one rightly rejects it.
 TEST_CASE_FIXTURE(LateAnswerFixture,
