A result without an outcome and a status is not an answer

Fix: an answer from a gate needs a final status; otherwise the attempt may have run. Evidence: 'CallCodec, result without an outcome and a status, ...' fails before (2 of 2 checks) and passes after it; one run each, x86_64.

--- a/src/sidecar/CallCodec.cpp
+++ b/src/sidecar/CallCodec.cpp
@@ -32,6 +32,14 @@
   return aNumber <= static_cast<std::uint8_t>(CallOutcome::kTimedOut);
 }
 
+/** A missing outcome reads as that of an answer, but has no final status. */
+bool IsWithoutAnswer(const CallResultMessage& aMessage)
+{
+  constexpr unsigned kFirstFinalStatus = 200;
+  return static_cast<CallOutcome>(aMessage.outcome) == CallOutcome::kAnswered &&
+         aMessage.status < kFirstFinalStatus;
+}
+
 /** A gate of an older version passes on statuses that callers would take for the fleet's refusal.
  */
 bool IsUnprovenRefusal(const CallResultMessage& aMessage)
@@ -102,7 +110,8 @@
 GateCallResult FromMessage(CallResultMessage aMessage)
 {
   GateCallResult result;
-  if (!IsKnownOutcome(aMessage.outcome) || IsUnprovenRefusal(aMessage)) {
+  if (!IsKnownOutcome(aMessage.outcome) || IsWithoutAnswer(aMessage) ||
+      IsUnprovenRefusal(aMessage)) {
     result.outcome = CallOutcome::kFailed;
     result.reason = ResultCode::kUpstreamFailed;
     result.reached = true;
--- a/tests/sidecar/CallCodecTest.cpp
+++ b/tests/sidecar/CallCodecTest.cpp
@@ -43,6 +43,14 @@
   CHECK(result.reached);
 }
 
+// The number of a missing outcome is that of an answer; callers would get a status of 0.
+TEST_CASE("CallCodec, result without an outcome and a status, may have run")
+{
+  const GateCallResult result = FromMessage(CallResultMessage{});
+  CHECK(result.outcome == CallOutcome::kFailed);
+  CHECK(result.reached);
+}
+
 TEST_CASE_FIXTURE(ResultFromGate, "CallCodec, ordinary answer, is passed on as it is")
 {
   message.status = 500;
