A signed 421 that says 'not run' names the wrong instance again

Since a 421 that has both the upstream's word and a signature counted as the refusal of a full upstream: the gate went on sending each request to an address that another instance has, one attempt each, and blamed its health. Before, any 421 stopped that until the next announcement.

Cause: IsFromAnotherInstance() wanted no signature even where the word shows that nothing ran. A signed 421 without the word still counts as 'may have run'.

The examples of the wire show a 421 without signature, so callers may never have met it.

--- a/src/sidecar/UpstreamRefusal.cpp
+++ b/src/sidecar/UpstreamRefusal.cpp
@@ -11,10 +11,12 @@
 constexpr unsigned kMisdirected = 421;
 constexpr unsigned kFirstFailure = 400;
 
-/** The answer of an instance that has the address of the one that was expected. */
+/** The answer of an instance that has the address of the one that was expected. Without the
+ * upstream's word, a signature shows that an upstream may have made the answer by running it. */
 bool IsFromAnotherInstance(const RefusalSigns& aSigns)
 {
-  return aSigns.status == kMisdirected && !aSigns.isSigned && !aSigns.namesExpected;
+  return aSigns.status == kMisdirected && (aSigns.saysNotRun || !aSigns.isSigned) &&
+         !aSigns.namesExpected;
 }
 
 } // namespace
--- a/tests/sidecar/UpstreamRefusalTest.cpp
+++ b/tests/sidecar/UpstreamRefusalTest.cpp
@@ -69,6 +69,17 @@
   CHECK(JudgeRefusal(signs) == RefusalVerdict::kWrongInstance);
 }
 
+// Guards against sending all requests to an address that another instance has.
+TEST_CASE_FIXTURE(TrueRefusal,
+                  "JudgeRefusal, another instance signs that it did not run it, wrong instance")
+{
+  signs.status = 421;
+  signs.isSigned = true;
+  CHECK(JudgeRefusal(signs) == RefusalVerdict::kWrongInstance);
+  signs.namesAnother = true;
+  CHECK(JudgeRefusal(signs) == RefusalVerdict::kWrongInstance);
+}
+
 TEST_CASE_FIXTURE(TrueRefusal, "JudgeRefusal, expected instance answers 421, may have run")
 {
   signs.status = 421;
