mwnode: an answer that ends inside its head is no success to the gate

Callers saw the right result, 'unknown', but the gate counted a success for an upstream that closed inside the head, and put its connection back to be reused: an upstream that does this always looked sound to the gate beside it.

Cause: libcurl ends such a transfer without an error once one line of the head came; the gate took that for a whole answer. The ingress found out, as no head had come, and told 109 without the gate's word. Now the gate tells that the answer was cut, and closes the connection.

The same rule covers 101, a switch of protocols that nobody asked for.

--- a/src/gate/UpstreamCall.cpp
+++ b/src/gate/UpstreamCall.cpp
@@ -62,7 +62,8 @@
   mStream->SetListener([multi] { curl_multi_wakeup(multi); });
   PerformTransfer(*channel, transfer);
   mStream->SetListener(nullptr);
-  if (transfer.code == CURLE_OK) {
+  // libcurl ends a transfer without an error when the upstream closes inside the head.
+  if (transfer.code == CURLE_OK && mResponse.IsWhole()) {
     curl_easy_reset(channel->Easy());
     mPool.Release(mHead.upstream, std::move(channel));
   }
@@ -267,7 +268,7 @@
   if (mShed) {
     return ResultCode::kGateShed;
   }
-  if (aTransfer.code == CURLE_OK) {
+  if (aTransfer.code == CURLE_OK && mResponse.IsWhole()) {
     return ResultCode::kOk;
   }
   if (mStream->ResetCode()) {
--- a/tests/ingress/CutHeadTest.cpp
+++ b/tests/ingress/CutHeadTest.cpp
@@ -90,6 +90,15 @@
   }
 }
 
+// Guards against health evidence that counts an answer without a head as a success.
+TEST_CASE_FIXTURE(OneNode, "Data path, head cut, the gate counts a failure")
+{
+  CutUpstream upstream(kUpstreamOne);
+  Announce(kUpstreamOne);
+  upstream.Set("HTTP/1.1 200 OK\r\nContent-Le", false);
+  CHECK(Says(CallBy("POST"), ResultCode::kAnswerCut, "unknown"));
+}
+
 TEST_CASE_FIXTURE(OneNode, "Data path, switch of protocols that nobody asked for, is no success")
 {
   CutUpstream upstream(kUpstreamOne);
