mwnode: an answer that bears another request's id is passed on to nobody

An upstream that wrote a copy of an earlier answer just as the next idempotent request came on the kept connection had it passed on as that request's answer: a success of another caller's request, or 503, 'not-run', for a request that may run.

It compares X-Request-Id now; without the id, a rejection counts as 'not run' only on a new connection. What is passed on is unchanged, but the stand-in's answers now bear the id.

Ruled out: requests that are not idempotent, which get a new connection each.

--- a/src/gate/ResponseHeadReader.cpp
+++ b/src/gate/ResponseHeadReader.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr int kFirstFinalStatus = 200;
+constexpr std::string_view kIdHeader = "X-Request-Id";
 
 std::string_view Trim(std::string_view aText)
 {
@@ -54,7 +55,7 @@
 
 void ResponseHeadReader::Begin(std::string_view aStatusLine)
 {
-  *this = {};
+  *this = ResponseHeadReader(std::move(mRequestId));
   const std::size_t space = aStatusLine.find(' ');
   if (space != std::string_view::npos) {
     ParseNumber(aStatusLine.substr(space + 1, 3), mHead.status);
@@ -69,6 +70,10 @@
     AddLength(aValue);
     return;
   }
+  if (SameHeaderName(aName, kIdHeader)) {
+    const bool own = aValue == Trim(mRequestId) && mOwner != ResponseOwner::kAnother;
+    mOwner = own ? ResponseOwner::kOwn : ResponseOwner::kAnother;
+  }
   mEncoded = mEncoded || SameHeaderName(aName, "Transfer-Encoding");
   if (!IsHopByHopHeader(aName) && !IsNodeHeader(aName)) {
     mHead.headers.push_back({ std::string(aName), std::string(aValue) });
--- a/src/gate/ResponseHeadReader.h
+++ b/src/gate/ResponseHeadReader.h
@@ -4,10 +4,20 @@
 
 #include <cstdint>
 #include <optional>
+#include <string>
 #include <string_view>
+#include <utility>
 
 namespace mustardwinch {
 
+/** What the id in a response's head says of the request that it answers. */
+enum class ResponseOwner : std::uint8_t
+{
+  kUnknown, //!< no id
+  kOwn,
+  kAnother, //!< the id of another request, or several ids
+};
+
 /**
  * Reads the head of an upstream's response line by line. The last head counts: interim ones come
  * before it.
@@ -19,6 +29,11 @@
 class ResponseHeadReader
 {
 public:
+  explicit ResponseHeadReader(std::string aRequestId)
+    : mRequestId(std::move(aRequestId))
+  {
+  }
+
   /** @return whether the head of the final response is whole */
   bool Add(std::string_view aLine);
 
@@ -27,13 +42,16 @@
 
   /** Whether the response says in two ways, or in an odd one, where its body ends. */
   bool IsLengthInDoubt() const { return mLengthInDoubt; }
+  ResponseOwner Owner() const { return mOwner; }
 
 private:
   void Begin(std::string_view aStatusLine);
   void AddField(std::string_view aName, std::string_view aValue);
   void AddLength(std::string_view aValue);
 
+  std::string mRequestId;
   GateResponseHead mHead;
+  ResponseOwner mOwner = ResponseOwner::kUnknown;
   std::optional<std::int64_t> mLength;
   bool mEncoded = false; //!< has a Transfer-Encoding: the body tells its own end
   bool mLengthInDoubt = false;
--- a/src/gate/UpstreamCall.cpp
+++ b/src/gate/UpstreamCall.cpp
@@ -33,6 +33,7 @@
   , mDeadline(aDeadline)
   , mStart(SteadyNow())
   , mHeaderList(nullptr, &curl_slist_free_all)
+  , mResponse(aHead.requestId)
 {
 }
 
@@ -57,7 +58,8 @@
     transfer.code = CURLE_OUT_OF_MEMORY;
     return transfer;
   }
-  SetUp(channel->Easy(), aFreshConnection);
+  mEasy = channel->Easy();
+  SetUp(mEasy, aFreshConnection);
   CURLM* multi = channel->Multi();
   mStream->SetListener([multi] { curl_multi_wakeup(multi); });
   PerformTransfer(*channel, transfer);
@@ -218,6 +220,11 @@
   }
   const GateResponseHead& head = mResponse.Head();
   mShed = head.status == kServiceUnavailable && FindHeader(head.headers, kShedHeader) != nullptr;
+  if (MayBelongToAnother()) {
+    mShed = false;
+    mForeign = true;
+    return 0;
+  }
   if (!mShed) {
     // The head is small: it may exceed the flow-control window, but never waits here.
     mStream->Send(StreamTag::kHead, EncodeResponseHead(head), TimePoint::max());
@@ -225,6 +232,26 @@
   return aLine.size();
 }
 
+bool UpstreamCall::IsOnKeptConnection() const
+{
+  long connects = 0;
+  curl_easy_getinfo(mEasy, CURLINFO_NUM_CONNECTS, &connects);
+  return connects == 0;
+}
+
+bool UpstreamCall::MayBelongToAnother() const
+{
+  switch (mResponse.Owner()) {
+    case ResponseOwner::kOwn:
+      return false;
+    case ResponseOwner::kAnother:
+      return true;
+    case ResponseOwner::kUnknown:
+      break;
+  }
+  return mShed && IsOnKeptConnection();
+}
+
 std::size_t UpstreamCall::OnBody(const char* aData, std::size_t aSize)
 {
   if (mShed) {
@@ -281,7 +308,7 @@
   if (aTransfer.code == CURLE_OPERATION_TIMEDOUT) {
     return ResultCode::kDeadlineAfterSend;
   }
-  return mFirstByte ? ResultCode::kAnswerCut : ResultCode::kUpstreamFailed;
+  return mFirstByte && !mForeign ? ResultCode::kAnswerCut : ResultCode::kUpstreamFailed;
 }
 
 AttemptResult UpstreamCall::ReportResult(const Transfer& aTransfer)
--- a/src/gate/UpstreamCall.h
+++ b/src/gate/UpstreamCall.h
@@ -20,6 +20,10 @@
  *
  * A request that is not idempotent always gets a new connection: libcurl resends a request by
  * itself when a reused connection closes without a response, which would run the request twice.
+ *
+ * On a reused connection a late copy of an earlier response can come. A response that bears another
+ * request's id is passed on to nobody. One that sheds counts as "not run" only with the id of this
+ * request or on a new connection.
  */
 class UpstreamCall
 {
@@ -52,6 +56,8 @@
   bool ShouldAbort(bool aPooled) const;
   AttemptResult ReportResult(const Transfer& aTransfer);
   ResultCode ResultCodeOf(const Transfer& aTransfer) const;
+  bool IsOnKeptConnection() const;
+  bool MayBelongToAnother() const;
 
   std::size_t OnHeaderLine(std::string_view aLine);
   std::size_t OnBody(const char* aData, std::size_t aSize);
@@ -64,9 +70,11 @@
   const TimePoint mStart;
   std::unique_ptr<curl_slist, decltype(&curl_slist_free_all)> mHeaderList;
 
+  CURL* mEasy = nullptr; //!< of the current transfer
   ResponseHeadReader mResponse;
   bool mRequestSent = false; //!< in any transfer, at least in part
   bool mShed = false;
+  bool mForeign = false; //!< the response is, or may be, that of another request
   std::optional<TimePoint> mFirstByte;
   std::string mUnsent;        //!< rest of a chunk that did not fit into the buffer of libcurl
   bool mBodyConsumed = false; //!< part of the request body has been read: no second transfer
--- a/tools/standin_upstream/HttpReply.cpp
+++ b/tools/standin_upstream/HttpReply.cpp
@@ -15,6 +15,10 @@
   head += mg_get_response_code_text(aConnection, aStatus);
   head += aLength == kChunkedLength ? "\r\nTransfer-Encoding: chunked"
                                     : "\r\nContent-Length: " + std::to_string(aLength);
+  // Shows whose answer it is; CivetWeb passes on no line breaks in a field.
+  if (const char* id = mg_get_header(aConnection, "X-Request-Id")) {
+    head += std::string("\r\nX-Request-Id: ") + id;
+  }
   if (aShed) {
     head += "\r\nX-Shed: 1";
   }
--- a/tools/standin_upstream/HttpReply.h
+++ b/tools/standin_upstream/HttpReply.h
@@ -10,7 +10,8 @@
 
 constexpr std::int64_t kChunkedLength = -1;
 
-/** Sends status and headers of an answer. @param aLength bytes of the body, or kChunkedLength */
+/** Sends status and headers of an answer, with the id of its request. @param aLength bytes of the
+ * body, or kChunkedLength */
 void SendHead(mg_connection* aConnection, int aStatus, std::int64_t aLength, bool aShed = false);
 
 /** Sends a whole answer with a JSON body. */
