Tests of the soak: each promise status, foreign bodies, plans of old seeds

The judge's tests had 503 before and 429 after a run only; now each of 408, 421, 429 and 503 in both orders, 502 and 504 that promise nothing, successes that are empty, foreign or too long, and a success without a run. The judge itself is as it was: all of this was recognised already.

--- a/tests/soak/FaultPlanTest.cpp
+++ b/tests/soak/FaultPlanTest.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <set>
 #include <string>
+#include <vector>
 
 using namespace mustardwinch;
 using namespace mustardwinch::soak;
@@ -32,3 +33,21 @@
     return aLeft.at < aRight.at;
   }));
 }
+
+TEST_CASE("FaultPlan, seeds that failed once, have the faults with which they failed")
+{
+  const std::vector<FaultStep> plan130{
+    { FaultKind::kResetLink, 1, Milliseconds(37), Milliseconds(2'062) },
+    { FaultKind::kStoreMalformed, 0, Milliseconds(655), Milliseconds(3'934) },
+    { FaultKind::kUpstreamHangs, 0, Milliseconds(4'880), Milliseconds(687) },
+  };
+  CHECK(MakeFaultPlan(130, 8, Seconds(6)) == plan130);
+  const auto plan150 = MakeFaultPlan(150, 8, Seconds(6));
+  REQUIRE(plan150.size() == 11);
+  const FaultStep first{ FaultKind::kStoreBusy, 1, Milliseconds(88), Milliseconds(1'587) };
+  const FaultStep fifth{ FaultKind::kReloadNode, 3, Milliseconds(2'538), Milliseconds(1'490) };
+  const FaultStep last{ FaultKind::kUpstreamGray, 4, Milliseconds(5'412), Milliseconds(4'798) };
+  CHECK(plan150.front() == first);
+  CHECK(plan150[4] == fifth);
+  CHECK(plan150.back() == last);
+}
--- a/tests/soak/PromiseJudgeTest.cpp
+++ b/tests/soak/PromiseJudgeTest.cpp
@@ -75,6 +75,22 @@
   {
     answer.body.pop_back();
   }
+  SUBCASE("empty")
+  {
+    answer.body.clear();
+  }
+  SUBCASE("with bytes of another answer after it")
+  {
+    answer.body += "HTTP/1.1 503";
+  }
+  SUBCASE("with the body of another request")
+  {
+    answer.body = BodyFor("q2");
+  }
+  SUBCASE("with the signature of another request")
+  {
+    answer.headers[1].value = SignatureFor("q2", "i-1");
+  }
   SUBCASE("signed by an upstream that did not run it")
   {
     answer.headers[1].value = SignatureFor("q1", "i-2");
@@ -119,6 +135,64 @@
   CHECK(IsBroken("not run"));
 }
 
+TEST_CASE_FIXTURE(
+  JudgeFixture,
+  "PromiseJudge, each status that promises not run, ran before or runs later, broken")
+{
+  unsigned status = 0;
+  SUBCASE("408")
+  {
+    status = 408;
+  }
+  SUBCASE("421")
+  {
+    status = 421;
+  }
+  SUBCASE("429")
+  {
+    status = 429;
+  }
+  SUBCASE("503")
+  {
+    status = 503;
+  }
+  for (const bool ranBefore : { true, false }) {
+    PromiseJudge fresh;
+    fresh.OnSent(request, now);
+    if (ranBefore) {
+      fresh.OnRun(run, now);
+    }
+    fresh.OnAnswer("q1", MakeTextAnswer(status, ""), now + Milliseconds(5));
+    if (!ranBefore) {
+      CHECK(fresh.Violations().empty());
+      fresh.OnRun(run, now + Milliseconds(50));
+    }
+    REQUIRE(fresh.Violations().size() == 1);
+    CHECK(fresh.Violations().front().starts_with("not run at "));
+  }
+}
+
+TEST_CASE_FIXTURE(JudgeFixture,
+                  "PromiseJudge, status that promises nothing after a run, nothing is broken")
+{
+  judge.OnRun(run, now);
+  SUBCASE("502")
+  {
+    judge.OnAnswer("q1", MakeTextAnswer(502, ""), now);
+  }
+  SUBCASE("504")
+  {
+    judge.OnAnswer("q1", MakeTextAnswer(504, ""), now);
+  }
+  CHECK(judge.Violations().empty());
+}
+
+TEST_CASE_FIXTURE(JudgeFixture, "PromiseJudge, success without a run, is broken")
+{
+  judge.OnAnswer("q1", Success("q1"), now);
+  CHECK(IsBroken("whole answer"));
+}
+
 TEST_CASE_FIXTURE(JudgeFixture, "PromiseJudge, run that nobody sent, is broken")
 {
   run.id = "q9";
