Stand-in store: after its history is gone, a watch from a list's end is taken

Cause: the oldest watchable revision was one more than the store's own. The revision now goes on with the loss, so that each watcher is told of it, once.

Evidence (x86_64): 'StandinStore, history gone, a watch from the next list's revision, is taken' fails before and passes after; a watch from before is still told that its history is gone (passes before and after).

--- a/tools/soak/StandinStore.cpp
+++ b/tools/soak/StandinStore.cpp
@@ -49,7 +49,7 @@
 void StandinStore::Compact()
 {
   mHistory.clear();
-  mOldest = mRevision + 1;
+  mOldest = ++mRevision; // of a list from now on, so that a watch from there is taken
 }
 
 std::size_t StandinStore::Count(const std::string& aKind) const
