Soak: upstreams with faults at the wire, and callers that upload

Now they play late second copies of rejections, failures and successes (with the id or without), refusals that the upstream chose after a run, answers that stop in their head or body, rejections before a body is in, and resets of answers without a length. One call in ten is an upload of 20 to 990 kB, so that bodies that follow between nodes are played; the judge compares their size. A 421 of an upstream now says that the request has not run, as the users' pages have it; it did not before.

--- a/tests/soak/PromiseJudgeTest.cpp
+++ b/tests/soak/PromiseJudgeTest.cpp
@@ -193,6 +193,17 @@
   CHECK(IsBroken("whole answer"));
 }
 
+TEST_CASE_FIXTURE(JudgeFixture, "PromiseJudge, body of a request is cut, is broken")
+{
+  request.id = "q2";
+  request.bodyBytes = 20'000;
+  run.id = "q2";
+  run.bodyBytes = 19'999;
+  judge.OnSent(request, now);
+  judge.OnRun(run, now);
+  CHECK(IsBroken("whole request"));
+}
+
 TEST_CASE_FIXTURE(JudgeFixture, "PromiseJudge, run that nobody sent, is broken")
 {
   run.id = "q9";
--- a/tests/soak/SoakRunTest.cpp
+++ b/tests/soak/SoakRunTest.cpp
@@ -10,13 +10,15 @@
 
 namespace {
 
-/** Plays a seed on real processes of this build. */
-SoakReport Play(std::uint64_t aSeed)
+/** Plays a seed on real processes of this build. @param aWire with wire faults and uploads, which
+ *  seeds that failed before there were any go without */
+SoakReport Play(std::uint64_t aSeed, bool aWire = false)
 {
   std::signal(SIGPIPE, SIG_IGN);
   SoakOptions options;
   options.seed = aSeed;
   options.length = Seconds(6);
+  options.wire = aWire;
   options.paths.program = std::string(MW_BIN_DIR) + "/mwsidecar";
   options.paths.folder = std::string(MW_BIN_DIR) + "/soak-test-" + std::to_string(aSeed);
   std::filesystem::remove_all(options.paths.folder);
@@ -40,6 +42,11 @@
   CheckKept(Play(1));
 }
 
+TEST_CASE("Soak, seed 8, upstreams with wire faults and uploads, all promises are kept")
+{
+  CheckKept(Play(8, true));
+}
+
 // Seeds that failed once. Each stays as it was found, with its cause.
 
 TEST_CASE("Soak, seed 130, nodes that started together had two owners of a rate, kept")
--- a/tools/soak/PromiseJudge.cpp
+++ b/tools/soak/PromiseJudge.cpp
@@ -187,6 +187,10 @@
   if (aRun.service != aRequest.sent.service) {
     Break("route", aRun.id + " ran at " + aRun.service, aNow);
   }
+  if (aRun.bodyBytes != aRequest.sent.bodyBytes) {
+    Break(
+      "whole request", aRun.id + " ran with " + std::to_string(aRun.bodyBytes) + " bytes", aNow);
+  }
 }
 
 void PromiseJudge::CheckPlace(const Request& aRequest, const SoakRunBegin& aRun, TimePoint aNow)
--- a/tools/soak/SoakCaller.cpp
+++ b/tools/soak/SoakCaller.cpp
@@ -90,6 +90,7 @@
                       { names.remaining, std::to_string(kPatience.count()) },
                       { names.callerService, "forged" },
                       { names.organisation, "forged" } };
+  request.body.assign(mRequest.bodyBytes, 'u');
   if (!mRequest.key.empty()) {
     request.headers.push_back({ names.key, mRequest.key });
   }
--- a/tools/soak/SoakRequest.h
+++ b/tools/soak/SoakRequest.h
@@ -14,7 +14,8 @@
   std::string organisation; //!< empty on a route open to all
   std::string key;
   bool idempotent = false;
-  bool owed = true; //!< a calm fleet serves it: within the rate, with a good key
+  std::size_t bodyBytes = 0; //!< that it carries
+  bool owed = true;          //!< a calm fleet serves it: within the rate, with a good key
 
   bool operator==(const SoakRequest&) const = default;
 };
--- a/tools/soak/SoakRun.h
+++ b/tools/soak/SoakRun.h
@@ -5,6 +5,7 @@
 #include "soak/SoakNode.h"
 #include "soak/SoakUpstream.h"
 #include "soak/StandinStore.h"
+#include "soak/WireFaultPlan.h"
 #include "soak/WireTexts.h"
 
 #include <boost/asio/io_context.hpp>
@@ -18,13 +19,17 @@
 
 namespace mustardwinch::soak {
 
+constexpr const char* kSoakDomains[] = { "a", "b" };
+
 /** What a run is made from: with the same values the same faults come again. */
 struct SoakOptions
 {
   std::uint64_t seed = 1;
   std::size_t nodes = 8;
-  Milliseconds length{ 15'000 }; //!< time in which faults begin
-  double callsPerSecond = 15;    //!< at each node
+  Milliseconds length{ 15'000 };         //!< time in which faults begin
+  double callsPerSecond = 15;            //!< at each node
+  bool wire = true;                      //!< upstreams have wire faults, and callers upload
+  WireFault onlyWire = WireFault::kNone; //!< that all wire faults are; none: each is its own
   SoakPaths paths;
 };
 
@@ -53,10 +58,14 @@
   void Build();
   NodePlace PlaceOf(std::size_t aNumber) const;
   void AddCallers();
+  std::string ChooseUpload(SoakRequest& aRequest);
   std::string ChooseCall(SoakRequest& aRequest);
   bool AwaitServing();
   void PlayFaults();
+  void Log(Milliseconds aAt, const char* aName, std::size_t aTarget, Milliseconds aLength);
   void Begin(const FaultStep& aStep);
+  void PlanWireFaults();
+  void BeginWireFault(const WireStep& aStep);
   void BeginNodeFault(const FaultStep& aStep);
   void BeginLinkFault(const FaultStep& aStep);
   void BeginStoreFault(const FaultStep& aStep);
@@ -73,6 +82,7 @@
   Clock mClock;
   PromiseJudge mJudge;
   std::mt19937_64 mRandom;
+  std::mt19937_64 mUploadRandom;
   std::unique_ptr<StandinStore> mStore;
   std::vector<std::unique_ptr<SoakNode>> mNodes;
   std::vector<std::unique_ptr<SoakUpstream>> mUpstreams;
--- a/tools/soak/SoakRunBegin.h
+++ b/tools/soak/SoakRunBegin.h
@@ -16,6 +16,7 @@
   std::string organisation;  //!< that the node says sent it
   std::string callerService; //!< service beside the node at which the request began
   bool keySeen = false;      //!< a key came along
+  std::size_t bodyBytes = 0; //!< that came with it
 
   bool operator==(const SoakRunBegin&) const = default;
 };
--- a/tools/soak/SoakUpstream.cpp
+++ b/tools/soak/SoakUpstream.cpp
@@ -17,7 +17,8 @@
 constexpr Milliseconds kReplacePause{ 400 };
 constexpr Milliseconds kServesAfterLeave{ 2'500 }; //!< a little longer than work may still reach it
 constexpr Milliseconds kColdTime{ 2'000 };
-constexpr double kFaultShare = 0.7; //!< of the requests, while a fault lasts
+constexpr double kFaultShare = 0.7;       //!< of the requests, while a fault lasts
+constexpr Milliseconds kReadPause{ 100 }; //!< before the rest of a body that was refused early
 
 std::uint64_t UnixMs()
 {
@@ -37,6 +38,7 @@
   , mPlace(std::move(aPlace))
   , mJudge(aJudge)
   , mRandom(aSeed)
+  , mWire(aLoop, ~aSeed)
   , mBeat(aLoop)
   , mRestart(aLoop)
 {
@@ -53,15 +55,18 @@
   mDraining = false;
   mAcknowledged = false;
   mFault = UpstreamFault::kNone;
+  mWire.SetFault(WireFault::kNone);
   if (mStarts > 1) { // at the first start there is no traffic yet
     mColdUntil = mClock.Now() + kColdTime;
     mJudge.OnColdStart(mInstance, mColdUntil, kColdStartsPerSecond);
   }
-  mListener = std::make_unique<HttpListener>(
-    mLoop, mClock, [this](const auto& aSession, const HttpRequest& aRequest) {
-      Handle(aSession, aRequest);
-    });
-  if (!mListener->Listen(mPlace.address)) {
+  mListener = std::make_unique<WireListener>(
+    mLoop,
+    mPlace.address,
+    WireSession::Handlers{
+      [this](const auto& aSession, const auto& aRequest) { OnHead(aSession, aRequest); },
+      [this](const auto& aSession, const auto& aRequest) { Handle(aSession, aRequest); } });
+  if (!mListener->IsListening()) {
     End(kReplacePause); // the address is still in use
   }
 }
@@ -94,16 +99,26 @@
   return std::uniform_real_distribution<>(0, 1)(mRandom) < kFaultShare;
 }
 
-void SoakUpstream::Handle(const std::shared_ptr<HttpSession>& aSession, const HttpRequest& aRequest)
+void SoakUpstream::OnHead(const std::shared_ptr<WireSession>& aSession, const HttpRequest& aRequest)
+{
+  if (mWire.RejectsEarly()) {
+    const std::string name = platform::MakeHttpNames().requestId;
+    WireFaultPlayer::Reject(aSession, 503, std::string(HeaderValue(aRequest.headers, name)));
+    aSession->PauseReading(kReadPause);
+  }
+}
+
+void SoakUpstream::Handle(const std::shared_ptr<WireSession>& aSession, const HttpRequest& aRequest)
 {
+  mWire.OnRequest(aSession);
   const HttpNames names = platform::MakeHttpNames();
   const std::string id(HeaderValue(aRequest.headers, names.requestId));
   if (HeaderValue(aRequest.headers, names.expectInstance) != mInstance) {
-    aSession->Answer({ 421, { { names.requestId, id } }, "" });
+    WireFaultPlayer::Reject(aSession, 421, id);
     return;
   }
-  if (mRunning >= kSlots || (mFault == UpstreamFault::kSheds && Strikes())) {
-    aSession->Answer({ 503, { { names.requestId, id }, { names.notRun, "1" } }, "" });
+  if (mRunning >= kSlots || (mFault == UpstreamFault::kSheds && Strikes()) || mWire.Rejects()) {
+    WireFaultPlayer::Reject(aSession, 503, id);
     return;
   }
   SoakRunBegin run;
@@ -115,9 +130,10 @@
   run.organisation = HeaderValue(aRequest.headers, names.organisation);
   run.callerService = HeaderValue(aRequest.headers, names.callerService);
   run.keySeen = FindHeader(aRequest.headers, names.key) != nullptr;
+  run.bodyBytes = aRequest.body.size();
   mJudge.OnRun(run, mClock.Now());
   if (mFault == UpstreamFault::kGray && Strikes()) {
-    aSession->Detach(); // it ran, and nobody learns how it ended
+    aSession->Close(); // it ran, and nobody learns how it ended
     return;
   }
   if (mFault == UpstreamFault::kHangs && Strikes()) {
@@ -126,7 +142,7 @@
   Work(aSession, id);
 }
 
-void SoakUpstream::Work(const std::shared_ptr<HttpSession>& aSession, const std::string& aId)
+void SoakUpstream::Work(const std::shared_ptr<WireSession>& aSession, const std::string& aId)
 {
   const double extra = std::exponential_distribution<>(1 / kMeanWorkMs)(mRandom);
   const Milliseconds time = kLeastWork + Milliseconds(static_cast<std::int64_t>(extra));
@@ -137,11 +153,7 @@
       return; // it crashed meanwhile
     }
     --mRunning;
-    const HttpNames names = platform::MakeHttpNames();
-    aSession->Answer(
-      { 200,
-        { { names.requestId, aId }, { names.signature, SignatureFor(aId, instance) } },
-        BodyFor(aId) });
+    mWire.End(aSession, aId, instance);
   });
 }
 
--- a/tools/soak/SoakUpstream.h
+++ b/tools/soak/SoakUpstream.h
@@ -1,9 +1,10 @@
 #pragma once
 
 #include "http/HttpChannel.h"
-#include "http/HttpListener.h"
 #include "mustardwinch/Clock.h"
 #include "soak/PromiseJudge.h"
+#include "soak/WireFaultPlayer.h"
+#include "soak/WireListener.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -45,6 +46,7 @@
                std::uint64_t aSeed);
 
   void SetFault(UpstreamFault aFault) { mFault = aFault; }
+  void SetWireFault(WireFault aFault) { mWire.SetFault(aFault); }
 
   /** Ends at once; comes back cold as another instance after the pause. */
   void Crash(Milliseconds aPause);
@@ -55,8 +57,9 @@
 private:
   void Begin();
   void End(Milliseconds aPause);
-  void Handle(const std::shared_ptr<HttpSession>& aSession, const HttpRequest& aRequest);
-  void Work(const std::shared_ptr<HttpSession>& aSession, const std::string& aId);
+  void OnHead(const std::shared_ptr<WireSession>& aSession, const HttpRequest& aRequest);
+  void Handle(const std::shared_ptr<WireSession>& aSession, const HttpRequest& aRequest);
+  void Work(const std::shared_ptr<WireSession>& aSession, const std::string& aId);
   void AnnounceLater();
   void Announce();
   void OnAnnounced(const std::string& aInstance, bool aDraining);
@@ -67,7 +70,8 @@
   const UpstreamPlace mPlace;
   PromiseJudge& mJudge;
   std::mt19937_64 mRandom;
-  std::unique_ptr<HttpListener> mListener; //!< null while it is down
+  WireFaultPlayer mWire;
+  std::unique_ptr<WireListener> mListener; //!< null while it is down
   boost::asio::steady_timer mBeat;
   boost::asio::steady_timer mRestart;
   UpstreamFault mFault = UpstreamFault::kNone;
--- a/tools/soak/WireTexts.cpp
+++ b/tools/soak/WireTexts.cpp
@@ -10,10 +10,10 @@
 constexpr int kTargetMs = 400;
 constexpr int kTimeoutMs = 1'500;
 
-json Rule(const std::string& aName, const std::string& aService, bool aSafe, bool aOpen)
+json Rule(const std::string& aName, const std::string& aService, const char* aKind, bool aOpen)
 {
   return { { "name", aName },
-           { "kind", aSafe ? "safe" : "unsafe" },
+           { "kind", aKind },
            { "targetLatencyMs", kTargetMs },
            { "allowAnonymous", aOpen },
            { "match", { { "pathPrefix", "/" + aName + "/" } } },
@@ -67,10 +67,11 @@
            { "listeners",
              { { { "host", kHost },
                  { "rules",
-                   { Rule("safe", "booking", true, false),
-                     Rule("unsafe", "booking", false, false),
-                     Rule("dispatch", "dispatch", false, false),
-                     Rule("open", "booking", true, true) } } } } },
+                   { Rule("safe", "booking", "safe", false),
+                     Rule("unsafe", "booking", "unsafe", false),
+                     Rule("dispatch", "dispatch", "unsafe", false),
+                     Rule("upload", "booking", "upload", false),
+                     Rule("open", "booking", "safe", true) } } } } },
            { "clusters", { Cluster("booking"), Cluster("dispatch") } } };
 }
 
--- a/tools/soak/WireTexts.h
+++ b/tools/soak/WireTexts.h
@@ -28,8 +28,8 @@
 /** What an upstream tells the node beside it, as a call of the users' platform. */
 HttpRequest AnnouncementRequest(const UpstreamAnnouncement& aAnnouncement);
 
-/** The configuration as an operator of the users' platform writes it: routes /safe/ and /unsafe/ to
- *  the service "booking", /dispatch/ to "dispatch", /open/ without a key. */
+/** The configuration as an operator of the users' platform writes it: routes /safe/, /unsafe/ and
+ *  /upload/ to the service "booking", /dispatch/ to "dispatch", /open/ without a key. */
 nlohmann::json ConfigSpec(std::uint64_t aVersion,
                           const std::vector<SoakOrganisation>& aOrganisations);
 
--- a/tools/soak/main.cpp
+++ b/tools/soak/main.cpp
@@ -14,6 +14,8 @@
 DEFINE_uint32(nodes, 8, "nodes of the fleet, 2 to 200");
 DEFINE_uint32(seconds, 15, "seconds in which faults begin, 1 to 3600");
 DEFINE_double(calls, 15, "calls a second at each node");
+DEFINE_bool(wire, true, "upstreams have wire faults, and callers upload");
+DEFINE_string(only, "", "name of the wire fault that takes the place of all others");
 DEFINE_string(program, "", "the node's program; by default mwsidecar beside this one");
 DEFINE_string(out, "", "folder for settings and logs; by default soak-SEED beside this program");
 
@@ -27,6 +29,16 @@
 constexpr std::uint32_t kMostNodes = 200;
 constexpr std::uint32_t kMostSeconds = 3'600;
 
+/** The wire fault of a name; none if there is no such name. */
+WireFault WireFaultOf(const std::string& aName)
+{
+  std::size_t i = 0;
+  while (i < kWireFaults && aName != NameOf(static_cast<WireFault>(i))) {
+    ++i;
+  }
+  return static_cast<WireFault>(i);
+}
+
 /** Plays one seed; false if a promise was broken or too few calls of the calm end were served. */
 bool PlaySeed(const SoakOptions& aOptions)
 {
@@ -61,7 +73,8 @@
   gflags::SetVersionString(MW_VERSION);
   gflags::ParseCommandLineFlags(&argc, &argv, true);
   if (FLAGS_nodes < 2 || FLAGS_nodes > kMostNodes || FLAGS_seconds == 0 ||
-      FLAGS_seconds > kMostSeconds || FLAGS_calls <= 0 || FLAGS_runs == 0 || argc > 1) {
+      FLAGS_seconds > kMostSeconds || FLAGS_calls <= 0 || FLAGS_runs == 0 || argc > 1 ||
+      (!FLAGS_only.empty() && WireFaultOf(FLAGS_only) == WireFault::kNone)) {
     std::fprintf(stderr, "soak: a flag is out of its range, see --help\n");
     return kExitBadInput;
   }
@@ -73,6 +86,8 @@
   options.nodes = FLAGS_nodes;
   options.length = Seconds(FLAGS_seconds);
   options.callsPerSecond = FLAGS_calls;
+  options.wire = FLAGS_wire;
+  options.onlyWire = WireFaultOf(FLAGS_only);
   options.paths.program = FLAGS_program.empty() ? (here / "mwsidecar").string() : FLAGS_program;
   bool kept = true;
   for (std::uint32_t i = 0; i < FLAGS_runs; ++i, ++options.seed) {
