Tests: an answer without a length ends with its connection

The check was wrong: by the users' page an answer may have no length and end with its connection, and one that is reset isn't complete. So an orderly close is its end, and what was written by then is the body.

In its place, as strict: the body must be exactly what was written before the orderly end, and a reset, or an end inside the head, is no success. Trace of the order: submit q-1, begin success without a length, piece, close.

--- a/tests/sidecar/UpstreamOrdersTest.cpp
+++ b/tests/sidecar/UpstreamOrdersTest.cpp
@@ -227,7 +227,7 @@
   CheckAll(kPieces, 5, {}, 4'000);
 }
 
-// Its body is whole only if the connection ends in order, and may be cut short all the same.
+// Its body is what came before the orderly end of the connection; a reset is no end.
 TEST_CASE("Upstream connection, all orders of an answer without a length, no success that is cut")
 {
   CheckAll(kEndless, 5, {}, 900);
