Tests: a success and a 421 of the expected instance are no promise

The review took two conditions out of JudgeRefusal() and ReadRefusalSigns(): an answer below 400 that says 'not run', and the instance that an answer names.

Evidence: without the two conditions both new cases fail (5 checks), with them they pass, and the other 22 cases of Gate and JudgeRefusal as well, x86_64.

--- a/tests/sidecar/LateAnswerTest.cpp
+++ b/tests/sidecar/LateAnswerTest.cpp
@@ -237,6 +237,14 @@
   CHECK(Send("q-2") == CallOutcome::kFailed);
 }
 
+TEST_CASE_FIXTURE(LateAnswerFixture,
+                  "Gate, 421 of the instance that was expected, the request may have run")
+{
+  upstream.answers = { Answer("421 Misdirected", IdOf("q-1") + "X-Instance-Id: i-0\r\n") };
+  CHECK(Send("q-1") == CallOutcome::kFailed);
+  CHECK(gate.IsAvailable());
+}
+
 TEST_CASE_FIXTURE(LateAnswerFixture,
                   "Gate, refusals and late copies of an upstream, counted by whether believed")
 {
--- a/tests/sidecar/UpstreamRefusalTest.cpp
+++ b/tests/sidecar/UpstreamRefusalTest.cpp
@@ -69,6 +69,14 @@
   CHECK(JudgeRefusal(signs) == RefusalVerdict::kWrongInstance);
 }
 
+TEST_CASE_FIXTURE(TrueRefusal, "JudgeRefusal, success that says that it did not run, may have run")
+{
+  for (const unsigned status : { 200U, 204U, 302U }) {
+    signs.status = status;
+    CHECK(JudgeRefusal(signs) == RefusalVerdict::kMayHaveRun);
+  }
+}
+
 // Guards against sending all requests to an address that another instance has.
 TEST_CASE_FIXTURE(TrueRefusal,
                   "JudgeRefusal, another instance signs that it did not run it, wrong instance")
