Platform client: a head that is cut is no answer of the platform

mwnode and mwctl took the status of an answer that ended inside its head for the platform's word: a cut 404 said that an object does not exist, a cut 409 that a write met a conflict, a cut 200 was an answer with an empty body.

Cause: libcurl ends a transfer without an error when the connection closes after one whole line of the head. The client now notes whether the last head was whole, and tells 'unavailable' if not, as for any answer that is cut.

Ruled out: StoreClient, which uses HttpChannel (its cuts are tested there).

Evidence, x86_64: 'HTTP platform, answer cut at any byte, is told as unavailable' fails before (120 of 629 checks) and passes after it; the area platform passes.

--- a/src/platform/HttpPlatform.cpp
+++ b/src/platform/HttpPlatform.cpp
@@ -6,6 +6,7 @@
 #include "platform/PlatformLimits.h"
 
 #include <mutex>
+#include <string_view>
 
 namespace mustardwinch {
 namespace {
@@ -36,6 +37,15 @@
   return n;
 }
 
+/** Notes whether the last head is whole: interim ones come before it, and trailers after it. */
+std::size_t NoteHeadLine(char* aData, std::size_t aSize, std::size_t aCount, void* aHeadWhole)
+{
+  const std::string_view line(aData, aSize * aCount);
+  bool& whole = *static_cast<bool*>(aHeadWhole);
+  whole = line == "\r\n" || line == "\n" || (whole && !line.starts_with("HTTP/"));
+  return line.size();
+}
+
 void InitCurlOnce()
 {
   static std::once_flag sOnce;
@@ -248,6 +258,7 @@
   const std::string url = "http://" + aAddress.ToString() + aCall.path;
   const HeaderList headers = MakeHeaders(aCall.headers);
   BodySink sink{ {}, mOptions.maxAnswerBytes };
+  bool headWhole = false;
 
   curl_easy_setopt(curl, CURLOPT_URL, url.c_str());
   curl_easy_setopt(curl, CURLOPT_CUSTOMREQUEST, aCall.method.c_str());
@@ -258,6 +269,8 @@
   curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, long{ aCall.timeout.count() });
   curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, &AppendBody);
   curl_easy_setopt(curl, CURLOPT_WRITEDATA, &sink);
+  curl_easy_setopt(curl, CURLOPT_HEADERFUNCTION, &NoteHeadLine);
+  curl_easy_setopt(curl, CURLOPT_HEADERDATA, &headWhole);
   if (aCall.isWrite) {
     curl_easy_setopt(curl, CURLOPT_POSTFIELDSIZE_LARGE, curl_off_t(aCall.body.size()));
     curl_easy_setopt(curl, CURLOPT_POSTFIELDS, aCall.body.c_str());
@@ -277,6 +290,9 @@
     return { ResultCode::kPlatformUnavailable,
              aAddress.ToString() + ": " + curl_easy_strerror(code) };
   }
+  if (!headWhole) { // libcurl reports no error for an end inside the head
+    return { ResultCode::kPlatformUnavailable, aAddress.ToString() + ": the head was cut" };
+  }
   HttpAnswer answer;
   curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE, &answer.status);
   answer.body = std::move(sink.body);
--- a/tests/platform/HttpPlatformTest.cpp
+++ b/tests/platform/HttpPlatformTest.cpp
@@ -105,6 +105,31 @@
   }
 }
 
+// Guards against taking the status of a cut head for the platform's word, such as that an object
+// does not exist.
+TEST_CASE("HTTP platform, answer cut at any byte, is told as unavailable")
+{
+  ScriptedServer server("");
+  const auto platform = HttpPlatform::Make({ server.ListenAddress() });
+  for (const char* status : { "200 OK", "404 Not Found", "409 Conflict" }) {
+    const std::string answer = Answer(status, kOther);
+    for (std::size_t n = 0; n < answer.size(); ++n) {
+      CAPTURE(status);
+      CAPTURE(n);
+      server.SetAnswer(answer.substr(0, n));
+      CHECK(CodeOf(platform->Get("test", "other")) == ResultCode::kPlatformUnavailable);
+    }
+  }
+}
+
+TEST_CASE("HTTP platform, answer in chunks with a trailer after an interim one, is taken")
+{
+  ScriptedServer server("HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 404 Not Found\r\n"
+                        "Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\nX-T: t\r\n\r\n");
+  const auto platform = HttpPlatform::Make({ server.ListenAddress() });
+  CHECK(CodeOf(platform->Get("test", "other")) == ResultCode::kPlatformNotFound);
+}
+
 TEST_CASE("HTTP platform, write whose connection closes without an answer, is sent once")
 {
   ScriptedServer server("");
