A 421 shows that its request was not run only with a word or another name

The walk of all orders showed one hole that left: an unsigned 421 with the request's id, from an upstream that ran it, was told as not run (648 of 10075 orders, first: submit q-1, submit q-2, success, 421 after a run, close), so an unsafe request could run twice.

Cause: the absence of a signature counted as evidence. By the users' page no answer but one with the field says 'not run'; the examples on the wire show a 421 without it that names the instance which answers. So a 421 counts with the field, or unsigned with another instance's name. The tests' stand-in names itself now, as on the wire.

--- a/src/sidecar/UpstreamRefusal.cpp
+++ b/src/sidecar/UpstreamRefusal.cpp
@@ -11,12 +11,12 @@
 constexpr unsigned kMisdirected = 421;
 constexpr unsigned kFirstFailure = 400;
 
-/** The answer of an instance that has the address of the one that was expected. Without the
- * upstream's word, a signature shows that an upstream may have made the answer by running it. */
+/** The answer of an instance that has the address of the one that was expected: it says that it did
+ * not run the request, or names itself and is unsigned. */
 bool IsFromAnotherInstance(const RefusalSigns& aSigns)
 {
-  return aSigns.status == kMisdirected && (aSigns.saysNotRun || !aSigns.isSigned) &&
-         !aSigns.namesExpected;
+  const bool shown = aSigns.saysNotRun || (aSigns.namesAnother && !aSigns.isSigned);
+  return aSigns.status == kMisdirected && shown && !aSigns.namesExpected;
 }
 
 } // namespace
--- a/tests/sidecar/OrderedUpstream.h
+++ b/tests/sidecar/OrderedUpstream.h
@@ -62,6 +62,9 @@
 inline constexpr AnswerForm kNamelessRunAnd503{
   "503 after a run, without an id", "503 Failed", "", Framing::kLength, false, true
 };
+inline constexpr AnswerForm kRunAnd421{
+  "421 after a run", "421 Misdirected", "", Framing::kLength, true, true
+};
 inline constexpr AnswerForm kOtherInstance{ "421 of another instance",
                                             "421 Misdirected",
                                             "X-Instance-Id: i-9\r\n",
--- a/tests/sidecar/TestUpstream.h
+++ b/tests/sidecar/TestUpstream.h
@@ -31,7 +31,7 @@
   {
     const std::string id(HeaderValue(aRequest.headers, "X-Request-Id"));
     if (HeaderValue(aRequest.headers, "X-Expected-Instance") != instance) {
-      aSession->Answer({ 421, { { "X-Request-Id", id } }, "" });
+      aSession->Answer({ 421, { { "X-Request-Id", id }, { "X-Instance-Id", instance } }, "" });
       return;
     }
     requests.push_back(aRequest);
--- a/tests/sidecar/UpstreamRefusalTest.cpp
+++ b/tests/sidecar/UpstreamRefusalTest.cpp
@@ -102,7 +102,7 @@
     if (!it.saysNotRun && IsTakenAsNotRun(it)) {
       CHECK(it.status == 421);
       CHECK_FALSE(it.isSigned);
-      CHECK_FALSE(it.namesExpected);
+      CHECK(it.namesAnother);
     }
   }
 }
