--- a/src/sidecar/CallOutcome.h
+++ b/src/sidecar/CallOutcome.h
@@ -8,8 +8,8 @@
 enum class CallOutcome : std::uint8_t
 {
   kAnswered, //!< the upstream ran it and its complete answer was received
-  kRefused,  //!< it was not sent to the upstream and will not be
-  kShed,     //!< the upstream reported that it did not run it
+  kRefused,  //!< not run: it was not sent, or another instance than the expected one rejected it
+  kShed,     //!< not run: the expected upstream reported that it did not run it
   kFailed,   //!< it was sent and may have run
   kTimedOut, //!< it was sent and may have run, and its deadline passed
 };
--- a/src/sidecar/Gate.cpp
+++ b/src/sidecar/Gate.cpp
@@ -104,7 +104,7 @@
     return ResultCode::kGateUpstreamUnknown;
   }
   if (!mDelegate.coldRequestsPerSecond(aCall.service)) {
-    return ResultCode::kGateUpstreamUnknown; // nor what it bears
+    return ResultCode::kGateUpstreamUnknown; // how many requests it bears while cold
   }
   if (!mState.IsAvailable()) {
     return ResultCode::kGateDraining;
