--- a/src/sidecar/FleetState.cpp
+++ b/src/sidecar/FleetState.cpp
@@ -57,6 +57,15 @@
                                 const char* aFrom)
 {
   if (aRevision < mEvacuationsRevision) {
+    if (aDomains != mEvacuated) {
+      LogEvent(LogLevel::kInfo,
+               Event::kStateOutdated,
+               { { "state", "evacuations" },
+                 { "out", Join(aDomains) },
+                 { "revision", std::to_string(aRevision) },
+                 { "held", std::to_string(mEvacuationsRevision) },
+                 { "from", aFrom } });
+    }
     return;
   }
   mEvacuationsRevision = aRevision;
--- a/src/store/KindWatcher.cpp
+++ b/src/store/KindWatcher.cpp
@@ -165,7 +165,8 @@
              { "status", std::to_string(static_cast<int>(aReply.status)) },
              { "objects", std::to_string(aReply.objects.size()) },
              { "since", std::to_string(mRevision) },
-             { "revision", std::to_string(aReply.revision) } });
+             { "revision", std::to_string(aReply.revision) },
+             { "epoch", aReply.epoch ? std::to_string(*aReply.epoch) : "none" } });
 }
 
 void KindWatcher::Pause(const std::string& aDetail)
--- a/src/store/StoreReply.h
+++ b/src/store/StoreReply.h
@@ -3,6 +3,7 @@
 #include "store/StoredObject.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -28,6 +29,9 @@
   std::uint64_t revision = 0;        //!< of the store; with kDone of a list or watch
   bool more = false;                 //!< the list goes on after the last object
   std::string detail;                //!< why it failed
+  /** Number of the store's history, greater by one each time that the store comes back from a copy;
+   * nothing if the reply does not tell it. */
+  std::optional<std::uint64_t> epoch;
 
   bool operator==(const StoreReply&) const = default;
 };
