Stand-in store: comes back from a copy, with a greater epoch and revisions given out again

Watches that wait are cut or hear nothing. Two tests of the stand-in itself; nothing of the product is changed.

--- a/tests/soak/StandinStoreTest.cpp
+++ b/tests/soak/StandinStoreTest.cpp
@@ -30,6 +30,26 @@
     return status;
   }
 
+  std::optional<StoreStatus> WatchFrom(std::uint64_t aRevision)
+  {
+    std::optional<StoreStatus> status;
+    calls.watch(StoredKind::kConfig,
+                aRevision,
+                Milliseconds(200),
+                Freshness::kNewest,
+                [&](const StoreReply& aWatch) { status = aWatch.status; });
+    RunUntil([&] { return status.has_value(); });
+    return status;
+  }
+
+  void RunUntil(const std::function<bool()>& aDone)
+  {
+    const auto end = std::chrono::steady_clock::now() + Seconds(5);
+    while (!aDone() && std::chrono::steady_clock::now() < end) {
+      loop.run_one_for(Milliseconds(50));
+    }
+  }
+
   boost::asio::io_context loop{ 1 };
   Clock clock;
   const Address address = test::FreeAddress();
@@ -69,3 +89,36 @@
   }
   CHECK(status == StoreStatus::kHistoryGone);
 }
+
+TEST_CASE_FIXTURE(StandinStoreFixture,
+                  "StandinStore, back from a copy, objects and revision are its, the epoch rises")
+{
+  store.Put("config", "main", 7);
+  store.TakeCopy();
+  const std::uint64_t copied = store.Revision();
+  store.Put("config", "main", 8);
+  store.Put("config", "other", 9);
+  store.RestoreCopy();
+  CHECK(store.Revision() == copied);
+  std::optional<StoreReply> list;
+  calls.list(StoredKind::kConfig, "", Freshness::kNewest, [&](StoreReply aReply) {
+    list = std::move(aReply);
+  });
+  RunUntil([&] { return list.has_value(); });
+  REQUIRE(list);
+  REQUIRE(list->objects.size() == 1);
+  CHECK(list->objects.front().spec == nlohmann::json(7));
+  CHECK(list->epoch == 2);
+}
+
+TEST_CASE_FIXTURE(StandinStoreFixture,
+                  "StandinStore, back from a copy, a watch from a revision it lost, is told so")
+{
+  store.TakeCopy();
+  store.Put("config", "main", 7);
+  const std::uint64_t lost = store.Revision();
+  store.RestoreCopy();
+  CHECK(WatchFrom(lost) == StoreStatus::kHistoryGone);
+  store.Put("config", "main", 7);
+  CHECK(WatchFrom(lost) == StoreStatus::kDone);
+}
--- a/tools/soak/StandinStore.cpp
+++ b/tools/soak/StandinStore.cpp
@@ -40,35 +40,54 @@
 
 void StandinStore::Remove(const std::string& aKind, const std::string& aName)
 {
-  const auto it = mKinds[aKind].find(aName);
-  if (it != mKinds[aKind].end()) {
+  const auto it = mContent.kinds[aKind].find(aName);
+  if (it != mContent.kinds[aKind].end()) {
     Add(aKind, json(it->second), true);
   }
 }
 
 void StandinStore::Compact()
 {
-  mHistory.clear();
-  mOldest = ++mRevision; // of a list from now on, so that a watch from there is taken
+  mContent.history.clear();
+  mContent.oldest =
+    ++mContent.revision; // of a list from now on, so that a watch from there is taken
+}
+
+void StandinStore::TakeCopy()
+{
+  mCopy = mContent;
+}
+
+void StandinStore::RestoreCopy(WaitingWatches aWatches)
+{
+  mContent = mCopy;
+  ++mEpoch;
+  if (aWatches == WaitingWatches::kKept) {
+    return;
+  }
+  for (const auto& it : std::exchange(mWaiting, {})) {
+    it->timer->cancel();
+    it->session->Detach();
+  }
 }
 
 std::size_t StandinStore::Count(const std::string& aKind) const
 {
-  const auto it = mKinds.find(aKind);
-  return it != mKinds.end() ? it->second.size() : 0;
+  const auto it = mContent.kinds.find(aKind);
+  return it != mContent.kinds.end() ? it->second.size() : 0;
 }
 
 void StandinStore::Add(const std::string& aKind, json aObject, bool aRemoved)
 {
-  ++mRevision;
+  ++mContent.revision;
   const std::string name = aObject["metadata"]["name"];
   if (aRemoved) {
-    mKinds[aKind].erase(name);
+    mContent.kinds[aKind].erase(name);
   } else {
-    aObject["metadata"]["revision"] = mRevision;
-    mKinds[aKind][name] = aObject;
+    aObject["metadata"]["revision"] = mContent.revision;
+    mContent.kinds[aKind][name] = aObject;
   }
-  mHistory.push_back({ mRevision, aKind, std::move(aObject), aRemoved });
+  mContent.history.push_back({ mContent.revision, aKind, std::move(aObject), aRemoved });
   const auto waiting = mWaiting;
   for (const auto& it : waiting) {
     if (AnswerWatch(it->session, it->kind, it->since, false)) {
@@ -112,7 +131,7 @@
                          const std::string& aKind,
                          const std::string& aName)
 {
-  auto& objects = mKinds[aKind];
+  auto& objects = mContent.kinds[aKind];
   if (aRequest.method == "DELETE") {
     const bool found = objects.count(aName) != 0;
     if (found) {
@@ -144,10 +163,10 @@
 void StandinStore::List(const std::shared_ptr<HttpSession>& aSession, const std::string& aKind)
 {
   json items = json::array();
-  for (const auto& [name, object] : mKinds[aKind]) {
+  for (const auto& [name, object] : mContent.kinds[aKind]) {
     items.push_back(object);
   }
-  Answer(aSession, 200, { { "items", items }, { "more", false }, { "at", mRevision } });
+  Answer(aSession, 200, { { "items", items }, { "more", false }, { "at", mContent.revision } });
 }
 
 void StandinStore::Watch(const std::shared_ptr<HttpSession>& aSession,
@@ -155,7 +174,8 @@
                          std::uint64_t aSince,
                          Milliseconds aWait)
 {
-  if (aSince < mOldest && mOldest != 0) {
+  const bool dropped = aSince < mContent.oldest && mContent.oldest != 0;
+  if (dropped || aSince > mContent.revision) {
     Answer(aSession, 410, json::object());
     return;
   }
@@ -167,19 +187,29 @@
   mWaiting.push_back(waiting);
   waiting->timer->async_wait([this, waiting](const boost::system::error_code& aError) {
     if (!aError) {
-      AnswerWatch(waiting->session, waiting->kind, waiting->since, true);
+      EndWatch(*waiting);
       mWaiting.remove(waiting);
     }
   });
 }
 
+/** Answers a watch whose time is over. */
+void StandinStore::EndWatch(const Waiting& aWatch)
+{
+  if (aWatch.since > mContent.revision) {
+    Answer(aWatch.session, 410, json::object());
+    return;
+  }
+  AnswerWatch(aWatch.session, aWatch.kind, aWatch.since, true);
+}
+
 bool StandinStore::AnswerWatch(const std::shared_ptr<HttpSession>& aSession,
                                const std::string& aKind,
                                std::uint64_t aSince,
                                bool aLast)
 {
   json events = json::array();
-  for (const Event& it : mHistory) {
+  for (const Event& it : mContent.history) {
     if (it.kind == aKind && it.revision > aSince) {
       events.push_back({ { "removed", it.removed }, { "object", it.object } });
     }
@@ -187,15 +217,18 @@
   if (events.empty() && !aLast) {
     return false;
   }
-  Answer(aSession, 200, { { "events", events }, { "at", mRevision } });
+  Answer(aSession, 200, { { "events", events }, { "at", mContent.revision } });
   return true;
 }
 
 void StandinStore::Answer(const std::shared_ptr<HttpSession>& aSession,
                           unsigned aStatus,
-                          const json& aBody)
+                          const json& aBody) const
 {
-  aSession->Answer({ aStatus, { { "Content-Type", "application/json" } }, aBody.dump() });
+  aSession->Answer(
+    { aStatus,
+      { { "Content-Type", "application/json" }, { "Store-Era", std::to_string(mEpoch) } },
+      aBody.dump() });
 }
 
 } // namespace mustardwinch::soak
--- a/tools/soak/StandinStore.h
+++ b/tools/soak/StandinStore.h
@@ -42,6 +42,23 @@
   /** Drops the history: waiting watches stay as they are, the next ones are told. */
   void Compact();
 
+  /** What happens to the watches that wait while the store comes back from a copy. */
+  enum class WaitingWatches : std::uint8_t
+  {
+    kCut,  //!< their connections are closed
+    kKept, //!< they hear nothing of it, and only what the new history holds after their revision
+  };
+
+  /** Copies all objects and the history, in place of the last copy. */
+  void TakeCopy();
+
+  /** Comes back from the last copy: what was written since is gone, revisions are given out again.
+   * Without a copy the store is empty. */
+  void RestoreCopy(WaitingWatches aWatches = WaitingWatches::kCut);
+
+  std::uint64_t Epoch() const { return mEpoch; }
+  std::uint64_t Revision() const { return mContent.revision; }
+
   void SetFault(Fault aFault) { mFault = aFault; }
   std::size_t Count(const std::string& aKind) const;
   std::uint64_t Calls() const { return mCalls; }
@@ -55,6 +72,15 @@
     bool removed;
   };
 
+  /** All that a copy holds. */
+  struct Content
+  {
+    std::map<std::string, std::map<std::string, nlohmann::json>> kinds;
+    std::list<Event> history;
+    std::uint64_t revision = 1;
+    std::uint64_t oldest = 0; //!< watches that begin before it are told that the history is gone
+  };
+
   struct Waiting
   {
     std::string kind;
@@ -73,21 +99,21 @@
              const std::string& aKind,
              std::uint64_t aSince,
              Milliseconds aWait);
+  void EndWatch(const Waiting& aWatch);
   bool AnswerWatch(const std::shared_ptr<HttpSession>& aSession,
                    const std::string& aKind,
                    std::uint64_t aSince,
                    bool aLast);
   void Add(const std::string& aKind, nlohmann::json aObject, bool aRemoved);
-  static void Answer(const std::shared_ptr<HttpSession>& aSession,
-                     unsigned aStatus,
-                     const nlohmann::json& aBody);
+  void Answer(const std::shared_ptr<HttpSession>& aSession,
+              unsigned aStatus,
+              const nlohmann::json& aBody) const;
 
   boost::asio::io_context& mLoop;
-  std::map<std::string, std::map<std::string, nlohmann::json>> mKinds;
-  std::list<Event> mHistory;
+  Content mContent;
+  Content mCopy;
   std::list<std::shared_ptr<Waiting>> mWaiting;
-  std::uint64_t mRevision = 1;
-  std::uint64_t mOldest = 0; //!< watches that begin before it are told that the history is gone
+  std::uint64_t mEpoch = 1;
   std::uint64_t mCalls = 0;
   Fault mFault = Fault::kNone;
   HttpListener mListener;
