--- a/tests/sidecar/RestoredStoreTest.cpp
+++ b/tests/sidecar/RestoredStoreTest.cpp
@@ -5,7 +5,6 @@
 using namespace mustardwinch;
 using namespace mustardwinch::test;
 using nlohmann::json;
-using WaitingWatches = soak::StandinStore::WaitingWatches;
 
 namespace {
 
@@ -77,11 +76,14 @@
 TEST_CASE_FIXTURE(RestoredStore,
                   "Restored store, route written below the watched revision, is served in time")
 {
-  for (const WaitingWatches watches : { WaitingWatches::kCut, WaitingWatches::kKept }) {
-    CAPTURE(static_cast<int>(watches));
-    const std::string version = watches == WaitingWatches::kCut ? "r5" : "r7";
+  for (const bool cut : { true, false }) {
+    CAPTURE(cut);
+    const std::string version = cut ? "r5" : "r7";
     CopyThenGrow();
-    store.RestoreCopy(watches);
+    if (cut) {
+      store.CutWatches();
+    }
+    store.RestoreCopy();
     store.Put("config", "main", ConfigWithRoute(version, "/" + version + "/"));
     GrowRevision("config", 40);
     CHECK(RunUntil([&] { return AllAnswer("/" + version + "/x", 200); }, kConfigBound));
--- a/tests/soak/PromiseJudgeTest.cpp
+++ b/tests/soak/PromiseJudgeTest.cpp
@@ -366,3 +366,40 @@
   judge.OnExit(2, 0, now + Seconds(1));
   CHECK(IsBroken("own end"));
 }
+
+TEST_CASE_FIXTURE(JudgeFixture, "PromiseJudge, confirmed route answered 404, is broken after bound")
+{
+  judge.OnRouteAdded("added-0", now);
+  request.addedRoute = "added-0";
+  for (const Milliseconds after : { Milliseconds(1'900), Milliseconds(2'100) }) {
+    request.id = "r" + std::to_string(after.count());
+    judge.OnSent(request, now + after);
+    judge.OnAnswer(request.id, { 404, {}, "" }, now + after);
+    CHECK(judge.Violations().empty() == (after < Milliseconds(2'000)));
+  }
+  CHECK(IsBroken("confirmed route"));
+}
+
+TEST_CASE_FIXTURE(JudgeFixture, "PromiseJudge, added route served and then 404, is broken at once")
+{
+  judge.OnNodeStart(request.node, now - Seconds(60));
+  judge.OnRouteAdded("added-0", now);
+  request.addedRoute = "added-0";
+  SendAndRun("r1");
+  judge.OnAnswer("r1", Success("r1"), now);
+  SendAndRun("r2");
+  judge.OnAnswer("r2", { 404, {}, "" }, now);
+  CHECK(IsBroken("no way back"));
+}
+
+TEST_CASE_FIXTURE(JudgeFixture, "PromiseJudge, added key refused beside a store fault, is allowed")
+{
+  judge.OnKeyAdded("key-north", now - Seconds(10));
+  judge.OnStoreFault(now - Seconds(2));
+  judge.OnAnswer("q1", { 401, {}, "" }, now);
+  CHECK(judge.Violations().empty());
+  request.id = "q2";
+  judge.OnSent(request, now + Seconds(2));
+  judge.OnAnswer("q2", { 401, {}, "" }, now + Seconds(2));
+  CHECK(IsBroken("denied"));
+}
--- a/tests/soak/SoakRunTest.cpp
+++ b/tests/soak/SoakRunTest.cpp
@@ -11,14 +11,19 @@
 namespace {
 
 /** Plays a seed on real processes of this build. @param aWire with wire faults and uploads, which
- *  seeds that failed before there were any go without */
-SoakReport Play(std::uint64_t aSeed, bool aWire = false)
+ *  seeds that failed before there were any go without; likewise aRestores, with a store that comes
+ *  back from copies */
+SoakReport Play(std::uint64_t aSeed,
+                bool aWire = false,
+                bool aRestores = false,
+                Milliseconds aLength = Seconds(6))
 {
   std::signal(SIGPIPE, SIG_IGN);
   SoakOptions options;
   options.seed = aSeed;
-  options.length = Seconds(6);
+  options.length = aLength;
   options.wire = aWire;
+  options.restores = aRestores;
   options.paths.program = std::string(MW_BIN_DIR) + "/mwsidecar";
   options.paths.folder = std::string(MW_BIN_DIR) + "/soak-test-" + std::to_string(aSeed);
   std::filesystem::remove_all(options.paths.folder);
@@ -58,3 +63,9 @@
 {
   CheckKept(Play(150));
 }
+
+// A watch went on from a revision of the lost history, so a confirmed route was 404 at most nodes.
+TEST_CASE("Soak, seed 3435, store back from copies while routes are added, kept")
+{
+  CheckKept(Play(3435, true, true, Seconds(10)));
+}
--- a/tools/soak/PromiseJudge.cpp
+++ b/tools/soak/PromiseJudge.cpp
@@ -116,6 +116,16 @@
   mWithdrawn[aKey] = aNow;
 }
 
+void PromiseJudge::OnKeyAdded(const std::string& aKey, TimePoint aNow)
+{
+  mKeyAdded[aKey] = aNow;
+}
+
+void PromiseJudge::OnRouteAdded(const std::string& aRoute, TimePoint aNow)
+{
+  mRouteAdded[aRoute] = aNow;
+}
+
 void PromiseJudge::OnEvacuated(const std::string& aFailureDomain, bool aOut, TimePoint aNow)
 {
   if (aOut) {
@@ -275,11 +285,55 @@
       Break("not run", aId + " got " + std::to_string(aAnswer.status) + " and had run", aNow);
     }
   }
-  if (IsDenial(aAnswer.status)) {
-    mKeyRefused.try_emplace({ sent.node, sent.key }, mIncarnation[sent.node], aNow);
-    if (mWithdrawn.count(sent.key) == 0) {
-      Break("denied", aId + " got " + std::to_string(aAnswer.status) + " with a good key", aNow);
-    }
+  if (!sent.addedRoute.empty()) {
+    CheckAddedRoute(request, aAnswer.status, aNow);
+  } else if (IsDenial(aAnswer.status)) {
+    CheckDenial(request, aAnswer.status, aNow);
+  }
+}
+
+/** An older configuration, without what was added, may still be in force. */
+bool PromiseJudge::IsAddedLately(const std::map<std::string, TimePoint>& aAdded,
+                                 const std::string& aName,
+                                 const Request& aRequest,
+                                 TimePoint aNow) const
+{
+  const auto added = aAdded.find(aName);
+  if (added == aAdded.end()) {
+    return false;
+  }
+  const bool calm = IsCalm(aRequest.sent.node, aNow) && IsStoreCalm(aRequest.at);
+  return !calm || aRequest.at <= added->second + mBounds.configApply;
+}
+
+void PromiseJudge::CheckDenial(const Request& aRequest, unsigned aStatus, TimePoint aNow)
+{
+  const SoakRequest& sent = aRequest.sent;
+  if (IsAddedLately(mKeyAdded, sent.key, aRequest, aNow)) {
+    return;
+  }
+  mKeyRefused.try_emplace({ sent.node, sent.key }, mIncarnation[sent.node], aNow);
+  if (mWithdrawn.count(sent.key) == 0) {
+    Break("denied", sent.id + " got " + std::to_string(aStatus) + " with a good key", aNow);
+  }
+}
+
+void PromiseJudge::CheckAddedRoute(const Request& aRequest, unsigned aStatus, TimePoint aNow)
+{
+  const SoakRequest& sent = aRequest.sent;
+  std::uint64_t& known = mRouteKnown[{ sent.node, sent.addedRoute }];
+  if (aStatus == 200) { // others may come from a node that has no configuration
+    known = mIncarnation[sent.node];
+  }
+  if (!IsDenial(aStatus)) {
+    return;
+  }
+  const std::string detail = sent.id + " got " + std::to_string(aStatus) + " on " +
+                             sent.addedRoute + " at node " + std::to_string(sent.node);
+  if (known != 0 && known == mIncarnation[sent.node]) {
+    Break("no way back", detail, aNow);
+  } else if (!IsAddedLately(mRouteAdded, sent.addedRoute, aRequest, aNow)) {
+    Break("confirmed route", detail, aNow);
   }
 }
 
--- a/tools/soak/PromiseJudge.h
+++ b/tools/soak/PromiseJudge.h
@@ -48,6 +48,10 @@
 
   void OnRate(const std::string& aOrganisation, double aPerSecond, double aBurst);
   void OnKeyWithdrawn(const std::string& aKey, TimePoint aNow);
+  /** A key was added; until then no configuration had it. */
+  void OnKeyAdded(const std::string& aKey, TimePoint aNow);
+  /** A configuration with one more route was acknowledged. */
+  void OnRouteAdded(const std::string& aRoute, TimePoint aNow);
   void OnEvacuated(const std::string& aFailureDomain, bool aOut, TimePoint aNow);
   /** A node acknowledged that an instance leaves. */
   void OnLeaveAcknowledged(const std::string& aInstance, TimePoint aNow);
@@ -91,6 +95,12 @@
   void CheckKey(const Request& aRequest, TimePoint aNow);
   void CheckRate(const std::string& aOrganisation, TimePoint aNow);
   void CheckCold(const std::string& aInstance, TimePoint aNow);
+  void CheckDenial(const Request& aRequest, unsigned aStatus, TimePoint aNow);
+  void CheckAddedRoute(const Request& aRequest, unsigned aStatus, TimePoint aNow);
+  bool IsAddedLately(const std::map<std::string, TimePoint>& aAdded,
+                     const std::string& aName,
+                     const Request& aRequest,
+                     TimePoint aNow) const;
   void CheckSuccess(const Request& aRequest, const HttpAnswer& aAnswer, TimePoint aNow);
 
   const PromiseBounds mBounds;
@@ -102,6 +112,10 @@
   TimePoint mStoreFaultUntil{};
   std::map<std::string, Rate> mRates;
   std::map<std::string, TimePoint> mWithdrawn;
+  std::map<std::string, TimePoint> mKeyAdded;
+  std::map<std::string, TimePoint> mRouteAdded;
+  /** Incarnation of each node that has known an added route. */
+  std::map<std::pair<std::size_t, std::string>, std::uint64_t> mRouteKnown;
   std::map<std::string, TimePoint> mEvacuated;
   std::map<std::string, TimePoint> mLeaving;
   std::map<std::string, Cold> mCold;
--- a/tools/soak/SoakRequest.h
+++ b/tools/soak/SoakRequest.h
@@ -11,6 +11,7 @@
   std::string id;
   std::size_t node = 0;     //!< where it is sent
   std::string service;      //!< that the route leads to
+  std::string addedRoute;   //!< name of its route, if that was added during the run
   std::string organisation; //!< empty on a route open to all
   std::string key;
   bool idempotent = false;
--- a/tools/soak/SoakRun.cpp
+++ b/tools/soak/SoakRun.cpp
@@ -82,7 +82,8 @@
 void SoakRun::WriteConfig()
 {
   mVersion += 1 + mRandom() % 5; // versions grow in uneven steps
-  mStore->Put("config", "main", ConfigSpec(mVersion, mOrganisations));
+  mConfig = ConfigSpec(mVersion, mOrganisations, mAddedRoutes);
+  mStore->Put("config", "main", mConfig);
 }
 
 void SoakRun::AddCallers()
@@ -114,9 +115,21 @@
   return "/upload/" + aRequest.id;
 }
 
+std::string SoakRun::ChooseAddedRoute(SoakRequest& aRequest)
+{
+  const SoakOrganisation& it = mOrganisations.front();
+  aRequest.service = "booking";
+  aRequest.organisation = it.name;
+  aRequest.key = it.keys.back();
+  aRequest.idempotent = true;
+  aRequest.addedRoute = mAddedRoutes[mUploadRandom() % mAddedRoutes.size()];
+  return "/" + aRequest.addedRoute + "/" + aRequest.id;
+}
+
 std::string SoakRun::ChooseCall(SoakRequest& aRequest)
 {
   constexpr double kUploadShare = 0.1;
+  constexpr double kAddedShare = 0.15;
   constexpr double kOpen = 0.1;
   constexpr double kHotShare = 0.4;
   constexpr double kOldKeyShare = 0.1;
@@ -125,6 +138,9 @@
   if (mOptions.wire && share(mUploadRandom) < kUploadShare) {
     return ChooseUpload(aRequest);
   }
+  if (!mAddedRoutes.empty() && share(mUploadRandom) < kAddedShare) {
+    return ChooseAddedRoute(aRequest);
+  }
   const double route = share(mRandom);
   std::string name = route < 0.3 ? "safe" : route < 0.7 ? "unsafe" : "dispatch";
   aRequest.service = name == "dispatch" ? "dispatch" : "booking";
--- a/tools/soak/SoakRun.h
+++ b/tools/soak/SoakRun.h
@@ -5,15 +5,19 @@
 #include "soak/SoakNode.h"
 #include "soak/SoakUpstream.h"
 #include "soak/StandinStore.h"
+#include "soak/StorePlan.h"
 #include "soak/WireFaultPlan.h"
 #include "soak/WireTexts.h"
 
 #include <boost/asio/io_context.hpp>
+#include <nlohmann/json.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <list>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -29,6 +33,7 @@
   Milliseconds length{ 15'000 };         //!< time in which faults begin
   double callsPerSecond = 15;            //!< at each node
   bool wire = true;                      //!< upstreams have wire faults, and callers upload
+  bool restores = true;                  //!< the store comes back from copies
   WireFault onlyWire = WireFault::kNone; //!< that all wire faults are; none: each is its own
   SoakPaths paths;
 };
@@ -59,6 +64,7 @@
   NodePlace PlaceOf(std::size_t aNumber) const;
   void AddCallers();
   std::string ChooseUpload(SoakRequest& aRequest);
+  std::string ChooseAddedRoute(SoakRequest& aRequest);
   std::string ChooseCall(SoakRequest& aRequest);
   bool AwaitServing();
   void PlayFaults();
@@ -72,7 +78,19 @@
   void BeginUpstreamFault(const FaultStep& aStep);
   void BeginChange(const FaultStep& aStep);
   void ReplaceKey();
+  void Withdraw(const std::string& aOld, const std::string& aFresh);
   void WriteConfig();
+  void SetEvacuated(const std::string& aDomain, bool aOut);
+  void AddRoute();
+
+  // The store is away and comes back from a copy.
+  void PlanStoreSteps();
+  /** Others use the store as well, so its revision grows all the time. */
+  void WriteOthers();
+  void BeginAway(const StoreStep& aStep);
+  void RewriteLost();
+  /** Writes now, or when the store is back and all that was lost is written again. */
+  void WriteWhenBack(std::function<void()> aWrite);
   void Later(Milliseconds aDelay, std::function<void()> aAction);
   void HealAll();
   void RunFor(Milliseconds aTime);
@@ -89,6 +107,12 @@
   std::vector<std::shared_ptr<SoakCaller>> mCallers;
   std::vector<SoakOrganisation> mOrganisations;
   std::string mWithdrawnKey; //!< some callers go on using it
+  std::vector<std::string> mAddedRoutes;
+  nlohmann::json mConfig;     //!< as last acknowledged
+  std::set<std::string> mOut; //!< failure domains that are evacuated, as last acknowledged
+  std::vector<std::function<void()>> mHeldWrites;
+  std::uint64_t mRevisionLost = 0; //!< of the store when it went away
+  bool mAway = false;              //!< the store is, or what it lost has not been written again
   SoakReport mReport;
   CallCounts mCounts;
   std::uint64_t mVersion = 0;
--- a/tools/soak/SoakRunFaults.cpp
+++ b/tools/soak/SoakRunFaults.cpp
@@ -19,6 +19,7 @@
 {
   const TimePoint begin = mClock.Now();
   PlanWireFaults();
+  PlanStoreSteps();
   for (const FaultStep& it : MakeFaultPlan(mOptions.seed, mOptions.nodes, mOptions.length)) {
     const auto passed = std::chrono::duration_cast<Milliseconds>(mClock.Now() - begin);
     RunFor(std::max(Milliseconds(0), it.at - passed));
@@ -169,12 +170,22 @@
     return;
   }
   const std::string domain = kSoakDomains[aStep.target % 2];
-  mStore->Put("evacuations", domain, nlohmann::json::object());
-  mJudge.OnEvacuated(domain, true, mClock.Now());
-  Later(aStep.length * 2, [this, domain] {
-    mJudge.OnEvacuated(domain, false, mClock.Now());
-    mStore->Remove("evacuations", domain);
-  });
+  WriteWhenBack([this, domain] { SetEvacuated(domain, true); });
+  Later(aStep.length * 2,
+        [this, domain] { WriteWhenBack([this, domain] { SetEvacuated(domain, false); }); });
+}
+
+void SoakRun::SetEvacuated(const std::string& aDomain, bool aOut)
+{
+  if (!aOut) {
+    mOut.erase(aDomain);
+    mJudge.OnEvacuated(aDomain, false, mClock.Now());
+    mStore->Remove("evacuations", aDomain);
+    return;
+  }
+  mOut.insert(aDomain);
+  mStore->Put("evacuations", aDomain, nlohmann::json::object());
+  mJudge.OnEvacuated(aDomain, true, mClock.Now());
 }
 
 /** A new key is added; when it is in force everywhere, callers change to it and the old one goes.
@@ -188,22 +199,27 @@
   const std::string old = hot.keys.front();
   const std::string fresh = "key-south-" + std::to_string(++mKeys);
   hot.keys.insert(hot.keys.begin(), fresh); // callers take the last one
-  WriteConfig();
-  Later(kKeyOverlap + PromiseBounds{}.contact, [this, old, fresh] {
-    mOrganisations[1].keys = { fresh };
-    mWithdrawnKey = old;
+  WriteWhenBack([this, old, fresh] {
     WriteConfig();
-    mJudge.OnKeyWithdrawn(old, mClock.Now());
+    mJudge.OnKeyAdded(fresh, mClock.Now());
+    Later(kKeyOverlap + PromiseBounds{}.contact,
+          [this, old, fresh] { WriteWhenBack([this, old, fresh] { Withdraw(old, fresh); }); });
   });
 }
 
+void SoakRun::Withdraw(const std::string& aOld, const std::string& aFresh)
+{
+  mOrganisations[1].keys = { aFresh };
+  mWithdrawnKey = aOld;
+  WriteConfig();
+  mJudge.OnKeyWithdrawn(aOld, mClock.Now());
+}
+
 void SoakRun::HealAll()
 {
   mStore->SetFault(StandinStore::Fault::kNone);
-  mStore->Remove("evacuations", "a");
-  mStore->Remove("evacuations", "b");
   for (const char* it : kSoakDomains) {
-    mJudge.OnEvacuated(it, false, mClock.Now());
+    SetEvacuated(it, false);
   }
   for (const auto& it : mNodes) {
     it->Relay().SetFaults({});
--- a/tools/soak/StandinStore.cpp
+++ b/tools/soak/StandinStore.cpp
@@ -58,13 +58,14 @@
   mCopy = mContent;
 }
 
-void StandinStore::RestoreCopy(WaitingWatches aWatches)
+void StandinStore::RestoreCopy()
 {
   mContent = mCopy;
   ++mEpoch;
-  if (aWatches == WaitingWatches::kKept) {
-    return;
-  }
+}
+
+void StandinStore::CutWatches()
+{
   for (const auto& it : std::exchange(mWaiting, {})) {
     it->timer->cancel();
     it->session->Detach();
--- a/tools/soak/StandinStore.h
+++ b/tools/soak/StandinStore.h
@@ -42,19 +42,16 @@
   /** Drops the history: waiting watches stay as they are, the next ones are told. */
   void Compact();
 
-  /** What happens to the watches that wait while the store comes back from a copy. */
-  enum class WaitingWatches : std::uint8_t
-  {
-    kCut,  //!< their connections are closed
-    kKept, //!< they hear nothing of it, and only what the new history holds after their revision
-  };
-
   /** Copies all objects and the history, in place of the last copy. */
   void TakeCopy();
 
   /** Comes back from the last copy: what was written since is gone, revisions are given out again.
+   * Watches that wait hear nothing of it, and only what the new history holds after their revision.
    * Without a copy the store is empty. */
-  void RestoreCopy(WaitingWatches aWatches = WaitingWatches::kCut);
+  void RestoreCopy();
+
+  /** Closes the connections of all watches that wait. */
+  void CutWatches();
 
   std::uint64_t Epoch() const { return mEpoch; }
   std::uint64_t Revision() const { return mContent.revision; }
--- a/tools/soak/WireTexts.cpp
+++ b/tools/soak/WireTexts.cpp
@@ -48,8 +48,18 @@
   return { "POST", prefix + aAnnouncement.instance + "/heartbeat", {}, body.dump() };
 }
 
-json ConfigSpec(std::uint64_t aVersion, const std::vector<SoakOrganisation>& aOrganisations)
+json ConfigSpec(std::uint64_t aVersion,
+                const std::vector<SoakOrganisation>& aOrganisations,
+                const std::vector<std::string>& aAddedRoutes)
 {
+  json rules{ Rule("safe", "booking", "safe", false),
+              Rule("unsafe", "booking", "unsafe", false),
+              Rule("dispatch", "dispatch", "unsafe", false),
+              Rule("upload", "booking", "upload", false),
+              Rule("open", "booking", "safe", true) };
+  for (const std::string& it : aAddedRoutes) {
+    rules.push_back(Rule(it, "booking", "safe", false));
+  }
   json organisations = json::array();
   for (const SoakOrganisation& it : aOrganisations) {
     organisations.push_back({ { "name", it.name },
@@ -64,14 +74,7 @@
                { "headerTimeoutMs", 3'000 },
                { "idleTimeoutMs", 15'000 } } },
            { "tenants", organisations },
-           { "listeners",
-             { { { "host", kHost },
-                 { "rules",
-                   { Rule("safe", "booking", "safe", false),
-                     Rule("unsafe", "booking", "unsafe", false),
-                     Rule("dispatch", "dispatch", "unsafe", false),
-                     Rule("upload", "booking", "upload", false),
-                     Rule("open", "booking", "safe", true) } } } } },
+           { "listeners", { { { "host", kHost }, { "rules", rules } } } },
            { "clusters", { Cluster("booking"), Cluster("dispatch") } } };
 }
 
--- a/tools/soak/WireTexts.h
+++ b/tools/soak/WireTexts.h
@@ -29,8 +29,10 @@
 HttpRequest AnnouncementRequest(const UpstreamAnnouncement& aAnnouncement);
 
 /** The configuration as an operator of the users' platform writes it: routes /safe/, /unsafe/ and
- *  /upload/ to the service "booking", /dispatch/ to "dispatch", /open/ without a key. */
+ *  /upload/ to the service "booking", /dispatch/ to "dispatch", /open/ without a key.
+ *  @param aAddedRoutes names of further routes that are idempotent, to "booking" */
 nlohmann::json ConfigSpec(std::uint64_t aVersion,
-                          const std::vector<SoakOrganisation>& aOrganisations);
+                          const std::vector<SoakOrganisation>& aOrganisations,
+                          const std::vector<std::string>& aAddedRoutes = {});
 
 } // namespace mustardwinch::soak
--- a/tools/soak/main.cpp
+++ b/tools/soak/main.cpp
@@ -15,6 +15,7 @@
 DEFINE_uint32(seconds, 15, "seconds in which faults begin, 1 to 3600");
 DEFINE_double(calls, 15, "calls a second at each node");
 DEFINE_bool(wire, true, "upstreams have wire faults, and callers upload");
+DEFINE_bool(restores, true, "the store comes back from copies that lack its last changes");
 DEFINE_string(only, "", "name of the wire fault that takes the place of all others");
 DEFINE_string(program, "", "the node's program; by default mwsidecar beside this one");
 DEFINE_string(out, "", "folder for settings and logs; by default soak-SEED beside this program");
@@ -87,6 +88,7 @@
   options.length = Seconds(FLAGS_seconds);
   options.callsPerSecond = FLAGS_calls;
   options.wire = FLAGS_wire;
+  options.restores = FLAGS_restores;
   options.onlyWire = WireFaultOf(FLAGS_only);
   options.paths.program = FLAGS_program.empty() ? (here / "mwsidecar").string() : FLAGS_program;
   bool kept = true;
