Evacuations are ordered by epoch and revision, and what a copy lacks stays in effect for a while

Callers' work went on to an evacuated failure domain for good: after the store came back from a copy, its revisions were less than the one held, so FleetState left each evacuation out as older (and its end as well). And taken at its word, a copy that is older than an evacuation would end it until the operator writes it again: what was in effect is kept for 5 s in a new epoch (kRewriteTime), or until it is written or removed there.

--- a/src/sidecar/FleetState.cpp
+++ b/src/sidecar/FleetState.cpp
@@ -21,13 +21,14 @@
 
 } // namespace
 
-FleetState::FleetState(const PlatformBinding& aBinding, Handlers aHandlers)
-  : mBinding(aBinding)
+FleetState::FleetState(const Clock& aClock, const PlatformBinding& aBinding, Handlers aHandlers)
+  : mClock(aClock)
+  , mBinding(aBinding)
   , mHandlers(std::move(aHandlers))
 {
 }
 
-void FleetState::ApplyConfigIfNewer(const json& aSpec, const char* aFrom)
+bool FleetState::ApplyConfigIfNewer(const json& aSpec, const char* aFrom)
 {
   auto config = mBinding.decodeConfig(aSpec);
   mLastConfigRejected = !config;
@@ -35,10 +36,10 @@
     LogEvent(LogLevel::kError,
              Event::kResourceRejected,
              { { "from", aFrom }, { "detail", config.Error().detail } });
-    return;
+    return false;
   }
   if (mRouting && config.Value().version <= ConfigVersion()) {
-    return;
+    return config.Value().version == ConfigVersion();
   }
   const std::uint64_t before = ConfigVersion();
   mConfigDocument = aSpec.dump();
@@ -50,48 +51,52 @@
              { "from", aFrom },
              { "routes", std::to_string(mRouting->Config().routes.size()) } });
   mHandlers.onConfig();
+  return true;
 }
 
 void FleetState::SetEvacuations(std::set<std::string> aDomains,
-                                std::uint64_t aRevision,
+                                StorePosition aAt,
                                 const char* aFrom)
 {
-  if (aRevision < mEvacuationsRevision) {
-    if (aDomains != mEvacuated) {
-      LogEvent(LogLevel::kInfo,
-               Event::kStateOutdated,
-               { { "state", "evacuations" },
-                 { "out", Join(aDomains) },
-                 { "revision", std::to_string(aRevision) },
-                 { "held", std::to_string(mEvacuationsRevision) },
-                 { "from", aFrom } });
-    }
-    return;
+  const auto change = mEvacuations.Set(aDomains, aAt, mClock.Now());
+  if (change == EvacuationState::Change::kOutdated) {
+    LogEvent(LogLevel::kInfo,
+             Event::kStateOutdated,
+             { { "state", "evacuations" },
+               { "out", Join(aDomains) },
+               { "revision", std::to_string(aAt.revision) },
+               { "epoch", std::to_string(aAt.epoch) },
+               { "held", std::to_string(mEvacuations.At().revision) },
+               { "held_epoch", std::to_string(mEvacuations.At().epoch) },
+               { "from", aFrom } });
   }
-  mEvacuationsRevision = aRevision;
-  if (aDomains == mEvacuated) {
+  OnEvacuationChange(change, aFrom);
+}
+
+void FleetState::SetEvacuation(const std::string& aDomain, bool aEvacuated, StorePosition aAt)
+{
+  OnEvacuationChange(mEvacuations.SetOne(aDomain, aEvacuated, aAt, mClock.Now()), "store");
+}
+
+void FleetState::Tick()
+{
+  OnEvacuationChange(mEvacuations.Expire(mClock.Now()), "time");
+}
+
+void FleetState::OnEvacuationChange(EvacuationState::Change aChange, const char* aFrom) const
+{
+  if (aChange != EvacuationState::Change::kInEffect) {
     return;
   }
-  mEvacuated = std::move(aDomains);
   LogEvent(LogLevel::kInfo,
            Event::kEvacuationsChanged,
-           { { "out", Join(mEvacuated) },
-             { "revision", std::to_string(mEvacuationsRevision) },
+           { { "out", Join(mEvacuations.InEffect()) },
+             { "revision", std::to_string(mEvacuations.At().revision) },
+             { "epoch", std::to_string(mEvacuations.At().epoch) },
              { "from", aFrom } });
   mHandlers.onEvacuations();
 }
 
-void FleetState::SetEvacuation(const std::string& aDomain, bool aEvacuated, std::uint64_t aRevision)
-{
-  std::set<std::string> domains = mEvacuated;
-  if (aEvacuated) {
-    domains.insert(aDomain);
-  } else {
-    domains.erase(aDomain);
-  }
-  SetEvacuations(std::move(domains), aRevision, "store");
-}
-
 void FleetState::ApplyPush(const StatePushMessage& aPush)
 {
   const json document = ParseUntrustedJson(aPush.document);
@@ -109,7 +114,7 @@
         domains.insert(it.get<std::string>());
       }
     }
-    SetEvacuations(std::move(domains), aPush.version, "peer");
+    SetEvacuations(std::move(domains), { aPush.epoch, aPush.version }, "peer");
   }
 }
 
@@ -117,9 +122,10 @@
 {
   const auto kind = static_cast<std::uint8_t>(aState);
   if (aState == SharedState::kEvacuations) {
-    return { kind, mEvacuationsRevision, json(mEvacuated).dump() };
+    const StorePosition at = mEvacuations.At();
+    return { kind, at.revision, json(mEvacuations.Listed()).dump(), at.epoch };
   }
-  return { kind, ConfigVersion(), mConfigDocument.empty() ? "null" : mConfigDocument };
+  return { kind, ConfigVersion(), mConfigDocument.empty() ? "null" : mConfigDocument, 0 };
 }
 
 } // namespace mustardwinch
--- a/src/sidecar/FleetState.h
+++ b/src/sidecar/FleetState.h
@@ -3,8 +3,9 @@
 #include "fleet/FleetMessage.h"
 #include "mustardwinch/Clock.h"
 #include "routing/RoutingTable.h"
+#include "sidecar/EvacuationState.h"
 #include "sidecar/PlatformBinding.h"
-#include "store/StoredObject.h"
+#include "store/StorePosition.h"
 
 #include <cstdint>
 #include <functional>
@@ -30,14 +31,22 @@
     std::function<void()> onEvacuations;
   };
 
-  FleetState(const PlatformBinding& aBinding, Handlers aHandlers);
+  FleetState(const Clock& aClock, const PlatformBinding& aBinding, Handlers aHandlers);
 
-  /** Applies a configuration if it is newer than the current one. @param aFrom source, for the log
+  /**
+   * Applies a configuration if it is newer than the current one. The operators number versions, so
+   * their order holds in all histories of the store.
+   *
+   * @param aFrom source, for the log
+   * @return whether it is valid and no older than the current one was
    */
-  void ApplyConfigIfNewer(const nlohmann::json& aSpec, const char* aFrom);
+  bool ApplyConfigIfNewer(const nlohmann::json& aSpec, const char* aFrom);
 
-  void SetEvacuations(std::set<std::string> aDomains, std::uint64_t aRevision, const char* aFrom);
-  void SetEvacuation(const std::string& aDomain, bool aEvacuated, std::uint64_t aRevision);
+  void SetEvacuations(std::set<std::string> aDomains, StorePosition aAt, const char* aFrom);
+  void SetEvacuation(const std::string& aDomain, bool aEvacuated, StorePosition aAt);
+
+  /** Called several times a second. */
+  void Tick();
 
   /** Applies state that a peer sent. */
   void ApplyPush(const StatePushMessage& aPush);
@@ -50,17 +59,19 @@
 
   /** The last configuration that was offered is malformed, so a newer one may not be in effect. */
   bool LastConfigRejected() const { return mLastConfigRejected; }
-  std::uint64_t EvacuationsRevision() const { return mEvacuationsRevision; }
-  bool IsEvacuated(const std::string& aDomain) const { return mEvacuated.count(aDomain) != 0; }
+  StorePosition EvacuationsAt() const { return mEvacuations.At(); }
+  bool IsEvacuated(const std::string& aDomain) const { return mEvacuations.IsEvacuated(aDomain); }
 
 private:
+  void OnEvacuationChange(EvacuationState::Change aChange, const char* aFrom) const;
+
+  const Clock& mClock;
   const PlatformBinding& mBinding;
   const Handlers mHandlers;
   std::shared_ptr<const RoutingTable> mRouting;
   std::string mConfigDocument; //!< the configuration in the format of the store, sent to peers
   bool mLastConfigRejected = false;
-  std::set<std::string> mEvacuated;
-  std::uint64_t mEvacuationsRevision = 0;
+  EvacuationState mEvacuations;
 };
 
 } // namespace mustardwinch
