Members: a list of a new epoch closes no links, and entries of other histories aren't removed

Links between live nodes closed when the store came back from a copy that was older than the nodes' entries, so calls under way were lost and changes weren't handed on. A member that such a list lacks stays as if a peer had told it, until it writes itself again; a conditional removal with a revision of another history isn't sent, since that revision may be a live node's now; an ack of an earlier epoch doesn't count as written.

--- a/src/fleet/LinkTable.cpp
+++ b/src/fleet/LinkTable.cpp
@@ -62,7 +62,7 @@
     link->Tick();
     return;
   }
-  if (aMember.revision >= it->second->Member().revision) {
+  if (aMember.at >= it->second->Member().at) {
     const bool moved = aMember.failureDomain != it->second->Member().failureDomain;
     it->second->SetMember(aMember);
     mVotersOutdated = mVotersOutdated || moved;
@@ -81,7 +81,7 @@
   }
 }
 
-void LinkTable::SetAll(const std::vector<MemberInfo>& aMembers)
+void LinkTable::SetAll(const std::vector<MemberInfo>& aMembers, Unlisted aUnlisted)
 {
   std::set<std::string> names;
   for (const MemberInfo& it : aMembers) {
@@ -90,8 +90,15 @@
   }
   std::vector<std::string> gone;
   for (const auto& [vm, link] : mLinks) {
-    if (names.count(vm) == 0 && link->Member().revision != 0) {
+    if (names.count(vm) != 0 || !link->Member().IsStored()) {
+      continue;
+    }
+    if (aUnlisted == Unlisted::kRemove) {
       gone.push_back(vm);
+    } else {
+      MemberInfo member = link->Member();
+      member.at = {};
+      link->SetMember(member);
     }
   }
   for (const std::string& it : gone) {
--- a/src/fleet/LinkTable.h
+++ b/src/fleet/LinkTable.h
@@ -28,8 +28,15 @@
   void Put(const MemberInfo& aMember);
   void Remove(const std::string& aVm);
 
+  /** What becomes of members of the store that its list lacks. */
+  enum class Unlisted : std::uint8_t
+  {
+    kRemove,
+    kKeep, //!< as if only a peer had told them
+  };
+
   /** All members as of the store; nodes that only peers have told stay. */
-  void SetAll(const std::vector<MemberInfo>& aMembers);
+  void SetAll(const std::vector<MemberInfo>& aMembers, Unlisted aUnlisted = Unlisted::kRemove);
 
   void Tick();
 
--- a/src/fleet/MemberInfo.h
+++ b/src/fleet/MemberInfo.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "mustardwinch/Address.h"
+#include "store/StorePosition.h"
 
-#include <cstdint>
 #include <string>
 
 namespace mustardwinch {
@@ -13,8 +13,10 @@
   std::string vm;
   Address link;
   std::string failureDomain;
-  std::string service;        //!< of the upstream beside the node
-  std::uint64_t revision = 0; //!< of the store; 0 if the node is known from a peer only
+  std::string service; //!< of the upstream beside the node
+  StorePosition at;    //!< of its entry in the store; none if the node is known from a peer only
+
+  bool IsStored() const { return at != StorePosition{}; }
 
   bool operator==(const MemberInfo&) const = default;
 };
--- a/src/fleet/MemberRegistrar.cpp
+++ b/src/fleet/MemberRegistrar.cpp
@@ -40,7 +40,7 @@
                      *link,
                      spec["failureDomain"].get<std::string>(),
                      spec["service"].get<std::string>(),
-                     aObject.revision };
+                     { aObject.epoch, aObject.revision } };
 }
 
 MemberRegistrar::MemberRegistrar(boost::asio::io_context& aLoop,
@@ -58,8 +58,11 @@
 {
 }
 
-void MemberRegistrar::OnList(const std::vector<StoredObject>& aObjects)
+void MemberRegistrar::OnList(const std::vector<StoredObject>& aObjects, StorePosition aAt)
 {
+  // Nodes that joined after the copy was taken write themselves again.
+  const bool replaced = aAt.epoch > mEpoch;
+  mEpoch = aAt.epoch;
   mOwn.reset();
   std::vector<MemberInfo> members;
   for (const StoredObject& it : aObjects) {
@@ -71,7 +74,7 @@
       RemovePredecessor(*member);
     }
   }
-  mLinks.SetAll(members);
+  mLinks.SetAll(members, replaced ? LinkTable::Unlisted::kKeep : LinkTable::Unlisted::kRemove);
   Write();
 }
 
@@ -117,6 +120,10 @@
 void MemberRegistrar::OnWritten(const StoreReply& aReply)
 {
   mWriting = false;
+  if (aReply.epoch && *aReply.epoch < mEpoch) { // what was written may not be in the copy
+    Write();
+    return;
+  }
   const bool known = aReply.status == StoreStatus::kDone || aReply.status == StoreStatus::kConflict;
   if (known && !aReply.objects.empty()) {
     mOwn = aReply.objects.front();
@@ -150,22 +157,30 @@
 void MemberRegistrar::Tick()
 {
   const TimePoint now = mClock.Now();
+  std::vector<std::string> unstored;
   for (const auto& [vm, link] : mLinks.All()) {
-    const bool gone = !link->IsUp() && link->DownSince() != TimePoint{} &&
-                      now - link->DownSince() > kGoneAfter && link->Member().revision != 0;
-    if (!gone || mRemoving.count(vm) != 0 || RateOwnerOf(vm, mLinks.LiveVms()) != mSelf.vm) {
+    const bool gone =
+      !link->IsUp() && link->DownSince() != TimePoint{} && now - link->DownSince() > kGoneAfter;
+    if (!gone) {
       continue;
     }
-    Remove(link->Member());
+    if (!link->Member().IsStored()) {
+      unstored.push_back(vm);
+    } else if (mRemoving.count(vm) == 0 && RateOwnerOf(vm, mLinks.LiveVms()) == mSelf.vm) {
+      Remove(link->Member());
+    }
+  }
+  for (const std::string& it : unstored) {
+    mLinks.Remove(it); // the store has no entry whose removal would tell it
   }
 }
 
 void MemberRegistrar::Remove(const MemberInfo& aMember)
 {
-  if (!mRemoving.insert(aMember.vm).second) {
-    return;
+  if (aMember.at.epoch != mEpoch || !mRemoving.insert(aMember.vm).second) {
+    return; // in another history the revision may be that of a node that lives
   }
-  const StoredObject object{ aMember.vm, aMember.revision, {}, false };
+  const StoredObject object{ aMember.vm, aMember.at.revision, {}, false };
   mStore.remove(StoredKind::kMembers, object, [this, vm = aMember.vm](const StoreReply& aReply) {
     mRemoving.erase(vm);
     LogEvent(LogLevel::kInfo,
--- a/src/fleet/MemberRegistrar.h
+++ b/src/fleet/MemberRegistrar.h
@@ -31,7 +31,7 @@
                   LinkTable& aLinks,
                   std::function<void()> aOnWritten);
 
-  void OnList(const std::vector<StoredObject>& aObjects);
+  void OnList(const std::vector<StoredObject>& aObjects, StorePosition aAt);
   void OnChange(const StoredObject& aObject);
 
   /** Removes entries of nodes that nobody has reached for long. Called about once a second. */
@@ -52,6 +52,7 @@
   boost::asio::steady_timer mTimer;
   std::optional<StoredObject> mOwn; //!< this node's entry as the store holds it
   std::set<std::string> mRemoving;
+  std::uint64_t mEpoch = 0; //!< of the history that the entries are of
   bool mWriting = false;
 };
 
