Strict revocation: a store that is back from a copy confirms nothing until it is written again

A copy that lacks a withdrawal would have confirmed the configuration before it: callers with a withdrawn key would be served beyond the bound.

--- a/src/sidecar/KeyFreshness.cpp
+++ b/src/sidecar/KeyFreshness.cpp
@@ -1,5 +1,7 @@
 #include "sidecar/KeyFreshness.h"
 
+#include "store/RewriteTime.h"
+
 #include <algorithm>
 
 namespace mustardwinch {
@@ -19,8 +21,16 @@
 
 } // namespace
 
+void KeyFreshness::OnHistoryReplaced(TimePoint aNow)
+{
+  mLackingUntil = aNow + kRewriteTime;
+}
+
 void KeyFreshness::Confirm(TimePoint aAsOf)
 {
+  if (mLackingUntil && aAsOf < *mLackingUntil) {
+    return;
+  }
   mConfirmedAt = std::max(mConfirmedAt.value_or(aAsOf), aAsOf);
 }
 
--- a/src/sidecar/KeyFreshness.h
+++ b/src/sidecar/KeyFreshness.h
@@ -28,9 +28,16 @@
   void Configure(const RevocationSettings& aSettings) { mSettings = aSettings; }
   bool IsStrict() const { return mSettings.strict; }
 
-  /** The configuration in effect was the newest one at aAsOf. */
+  /** The configuration in effect was the newest one at aAsOf. Not believed of a time in which the
+   * store may lack a withdrawal that it had acknowledged. */
   void Confirm(TimePoint aAsOf);
 
+  /** The store has come back from a copy that may lack withdrawals. */
+  void OnHistoryReplaced(TimePoint aNow);
+
+  /** The operators have written the newest configuration again. */
+  void OnRewritten() { mLackingUntil.reset(); }
+
   /** Whether keys may be accepted. Always true if revocation is not strict. */
   bool MayAcceptKeys(TimePoint aNow) const;
 
@@ -51,6 +58,7 @@
 
   RevocationSettings mSettings;
   std::optional<TimePoint> mConfirmedAt;
+  std::optional<TimePoint> mLackingUntil; //!< until then the store may lack withdrawals
 };
 
 } // namespace mustardwinch
--- a/tests/sidecar/KeyFreshnessTest.cpp
+++ b/tests/sidecar/KeyFreshnessTest.cpp
@@ -1,4 +1,5 @@
 #include "sidecar/KeyFreshness.h"
+#include "store/RewriteTime.h"
 
 #include <doctest/doctest.h>
 
@@ -65,3 +66,27 @@
   CHECK_FALSE(freshness.ShouldAskPeers(kBegin));
   CHECK_FALSE(freshness.ShouldAskStore(kBegin));
 }
+
+// Guards against a key whose withdrawal the store has lost: the copy confirms an older
+// configuration.
+TEST_CASE_FIXTURE(StrictFreshness,
+                  "KeyFreshness, store back from a copy, confirms only once rewritten")
+{
+  freshness.Confirm(kBegin);
+  freshness.OnHistoryReplaced(kBegin + Seconds(1));
+  freshness.Confirm(kBegin + Seconds(3));
+  CHECK(freshness.ConfirmedAt() == kBegin);
+  freshness.OnRewritten();
+  freshness.Confirm(kBegin + Seconds(3));
+  CHECK(freshness.ConfirmedAt() == kBegin + Seconds(3));
+}
+
+TEST_CASE_FIXTURE(StrictFreshness,
+                  "KeyFreshness, store back and never rewritten, confirms in the end")
+{
+  freshness.OnHistoryReplaced(kBegin);
+  freshness.Confirm(kBegin + kRewriteTime - Milliseconds(1));
+  CHECK_FALSE(freshness.ConfirmedAt());
+  freshness.Confirm(kBegin + kRewriteTime);
+  CHECK(freshness.ConfirmedAt() == kBegin + kRewriteTime);
+}
