A watch that another history of the store answers is not believed: all is listed anew

What callers saw: 404 for a confirmed route, at most nodes of the fleet, until some node happened to list. Cause: after a return from a copy revisions are given out again; once the new history has passed the revision that a node watches from, the watch goes on without 410, and what was written below it is told to nobody. Now positions are epoch and revision: a reply of a later epoch, to any call of this node or told by a peer's heartbeat, makes all three watchers list the newest state; replies of an earlier epoch (lagging replicas, calls under way) are dropped, pages of two epochs aren't mixed, and a history that is gone twice in a row is listed after a pause. Fetches between peers compare epochs too.

--- a/src/fleet/FleetMessage.h
+++ b/src/fleet/FleetMessage.h
@@ -56,7 +56,9 @@
   std::uint64_t configVersion = 0;
   std::uint64_t evacuationsRevision = 0;
   std::vector<std::uint32_t> unheard; //!< VmTag() of those that the sender knows and does not hear
-  MSGPACK_DEFINE(configVersion, evacuationsRevision, unheard)
+  std::uint64_t evacuationsEpoch = 0; //!< of the store's history, for evacuationsRevision
+  std::uint64_t storeEpoch = 0;       //!< newest history of the store that the sender knows of
+  MSGPACK_DEFINE(configVersion, evacuationsRevision, unheard, evacuationsEpoch, storeEpoch)
 };
 
 /** State of a gate and the upstream beside it. */
@@ -76,6 +78,8 @@
   std::string service;     //!< of the upstream; empty if the gate does not know it yet
   std::uint32_t ageMs = 0; //!< since the node's process started
   bool reachesStore = true;
+  std::uint64_t evacuationsEpoch = 0; //!< of the store's history, for evacuationsRevision
+  std::uint64_t storeEpoch = 0;       //!< newest history of the store that the node knows of
   MSGPACK_DEFINE(available,
                  trust,
                  running,
@@ -89,7 +93,9 @@
                  vm,
                  service,
                  ageMs,
-                 reachesStore)
+                 reachesStore,
+                 evacuationsEpoch,
+                 storeEpoch)
 };
 
 /** Load of a gate whose state has not changed. Sent with each heartbeat, so it holds no text. */
@@ -237,7 +243,8 @@
   std::uint8_t state = 0; //!< SharedState
   std::uint64_t version = 0;
   std::string document;
-  MSGPACK_DEFINE(state, version, document)
+  std::uint64_t epoch = 0; //!< of the store's history, if it numbers the version
+  MSGPACK_DEFINE(state, version, document, epoch)
 };
 
 } // namespace mustardwinch
--- a/src/fleet/FleetServer.cpp
+++ b/src/fleet/FleetServer.cpp
@@ -20,8 +20,10 @@
 {
   return aOne.available == aTwo.available && aOne.trust == aTwo.trust && aOne.slots == aTwo.slots &&
          aOne.configVersion == aTwo.configVersion &&
-         aOne.evacuationsRevision == aTwo.evacuationsRevision && aOne.leaving == aTwo.leaving &&
-         aOne.service == aTwo.service && aOne.reachesStore == aTwo.reachesStore;
+         aOne.evacuationsRevision == aTwo.evacuationsRevision &&
+         aOne.evacuationsEpoch == aTwo.evacuationsEpoch && aOne.storeEpoch == aTwo.storeEpoch &&
+         aOne.leaving == aTwo.leaving && aOne.service == aTwo.service &&
+         aOne.reachesStore == aTwo.reachesStore;
 }
 
 } // namespace
--- a/src/fleet/PullDecision.cpp
+++ b/src/fleet/PullDecision.cpp
@@ -18,7 +18,7 @@
 
 } // namespace
 
-bool PullDecision::ShouldPull(TimePoint aNow, std::uint64_t aOwn, std::uint64_t aTheirs, bool aNear)
+bool PullDecision::ShouldPull(TimePoint aNow, StorePosition aOwn, StorePosition aTheirs, bool aNear)
 {
   if (aTheirs <= aOwn) {
     return false;
@@ -28,7 +28,7 @@
     mOwn = aOwn;
     mSince = aNow;
   }
-  const Milliseconds far = aOwn == 0 ? kFarDelayAtStart : kFarDelay;
+  const Milliseconds far = aOwn == StorePosition{} ? kFarDelayAtStart : kFarDelay;
   if (aNow - mSince < (aNear ? kNearDelay : far) || aNow < mNextPull) {
     return false;
   }
--- a/src/fleet/PullDecision.h
+++ b/src/fleet/PullDecision.h
@@ -1,8 +1,7 @@
 #pragma once
 
 #include "mustardwinch/Clock.h"
-
-#include <cstdint>
+#include "store/StorePosition.h"
 
 namespace mustardwinch {
 
@@ -19,15 +18,16 @@
   /**
    * Whether to fetch from the peer that has told its version now.
    *
+   * @param aOwn version of this node, with the epoch if the store's revision numbers it
    * @param aNear the peer is in the same failure domain
    */
-  bool ShouldPull(TimePoint aNow, std::uint64_t aOwn, std::uint64_t aTheirs, bool aNear);
+  bool ShouldPull(TimePoint aNow, StorePosition aOwn, StorePosition aTheirs, bool aNear);
 
 private:
   bool mBehind = false;
-  std::uint64_t mOwn = 0; //!< version that the node had when it learned that it is behind
-  TimePoint mSince{};     //!< when the node learned that it is behind
-  TimePoint mNextPull{};  //!< an earlier fetch has its time until then
+  StorePosition mOwn;    //!< version that the node had when it learned that it is behind
+  TimePoint mSince{};    //!< when the node learned that it is behind
+  TimePoint mNextPull{}; //!< an earlier fetch has its time until then
 };
 
 } // namespace mustardwinch
--- a/src/sidecar/SidecarNode.cpp
+++ b/src/sidecar/SidecarNode.cpp
@@ -3,6 +3,7 @@
 #include "base/BoundedLog.h"
 #include "mustardwinch/Event.h"
 #include "sidecar/SharedRetryBudget.h"
+#include "store/EpochObserver.h"
 
 #include <algorithm>
 #include <csignal>
@@ -42,8 +43,9 @@
   : mLoop(aLoop)
   , mSettings(std::move(aSettings))
   , mBinding(std::move(aBinding))
+  , mStore(ObserveEpochs(mBinding.store, [this](std::uint64_t aEpoch) { OnStoreEpoch(aEpoch); }))
   , mReload(std::move(aReload))
-  , mState(mBinding, { [this] { OnConfig(); }, [this] { OnEvacuations(); } })
+  , mState(mClock, mBinding, { [this] { OnConfig(); }, [this] { OnEvacuations(); } })
   , mKeys(mSettings.revocation)
   , mGate(aLoop, mClock, mBinding.names, mSettings.cold, MakeGateDelegate())
   , mLinks(aLoop, mClock, Self(), MakeLinkCallbacks())
@@ -55,19 +57,10 @@
                 RateKind::kRetries,
                 MakeRetryTolerance(mSettings.retries))
   , mIngress(MakeIngressServices())
-  , mRegistrar(aLoop, mClock, mBinding.store, Self(), mLinks, [this] { mMemberWatcher.SkipGap(); })
-  , mConfigWatcher(aLoop, mClock, mBinding.store, StoredKind::kConfig, ConfigHandlers())
-  , mEvacuationWatcher(aLoop,
-                       mClock,
-                       mBinding.store,
-                       StoredKind::kEvacuations,
-                       EvacuationHandlers())
-  , mMemberWatcher(aLoop,
-                   mClock,
-                   mBinding.store,
-                   StoredKind::kMembers,
-                   MemberHandlers(),
-                   kMemberWatchGap)
+  , mRegistrar(aLoop, mClock, mStore, Self(), mLinks, [this] { mMemberWatcher.SkipGap(); })
+  , mConfigWatcher(aLoop, mClock, mStore, StoredKind::kConfig, ConfigHandlers())
+  , mEvacuationWatcher(aLoop, mClock, mStore, StoredKind::kEvacuations, EvacuationHandlers())
+  , mMemberWatcher(aLoop, mClock, mStore, StoredKind::kMembers, MemberHandlers(), kMemberWatchGap)
   , mCallers(aLoop,
              mClock,
              [this](const std::shared_ptr<HttpSession>& aSession, HttpRequest aRequest) {
@@ -98,7 +91,7 @@
 MemberInfo SidecarNode::Self() const
 {
   return {
-    mSettings.vmName, mSettings.advertisedLink, mSettings.failureDomain, mSettings.service, 0
+    mSettings.vmName, mSettings.advertisedLink, mSettings.failureDomain, mSettings.service, {}
   };
 }
 
@@ -199,6 +192,7 @@
   text += "mw_members " + std::to_string(mLinks.All().size() + 1) + "\n";
   text += "mw_members_live " + std::to_string(mLinks.LiveVms().size()) + "\n";
   text += "mw_config_version " + std::to_string(mState.ConfigVersion()) + "\n";
+  text += "mw_store_epoch " + std::to_string(mStoreEpoch) + "\n";
   text += "mw_log_lines_dropped_total " + std::to_string(DroppedLogLines()) + "\n";
   text += "mw_caller_connections " + std::to_string(mCallers.Count()) + "\n";
   aSession->Answer({ 200, { { "Content-Type", "text/plain; version=0.0.4" } }, text });
@@ -214,6 +208,7 @@
   mRates.Tick();
   mRetryRates.Tick();
   mGate.Tick();
+  mState.Tick();
   ConfirmConfig();
   CheckReadiness();
   if (mTicks % kTicksPerSecond == 0) {
--- a/src/sidecar/SidecarNode.h
+++ b/src/sidecar/SidecarNode.h
@@ -15,6 +15,7 @@
 #include "sidecar/RateTokenBroker.h"
 #include "sidecar/SidecarSettings.h"
 #include "store/KindWatcher.h"
+#include "store/ObjectStore.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -68,10 +69,16 @@
   KindWatcher::Handlers EvacuationHandlers();
   KindWatcher::Handlers MemberHandlers();
   bool ReachesStore() const;
+  /** A reply of the store, or a peer, names the epoch of the store's history. */
+  void OnStoreEpoch(std::uint64_t aEpoch);
+  void OnStoredConfig(const StoredObject& aObject);
   void OnStoreReachable(StoredKind aKind, bool aReachable, const std::string& aDetail);
   /** Updates the rate token brokers with the VMs that are alive now. */
   void UpdateRateFleet();
-  void OnPeerState(PeerLink& aLink, std::uint64_t aConfig, std::uint64_t aEvacuations);
+  void OnPeerState(PeerLink& aLink,
+                   std::uint64_t aConfig,
+                   StorePosition aEvacuations,
+                   std::uint64_t aStoreEpoch);
   void OnConfig();
   void OnEvacuations();
 
@@ -99,6 +106,7 @@
   const TimePoint mStartTime = mClock.Now();
   SidecarSettings mSettings;
   const PlatformBinding mBinding;
+  const ObjectStore mStore; //!< the binding's, with all epochs observed
   const ReloadFn mReload;
   FleetState mState;
   KeyFreshness mKeys;
@@ -127,6 +135,9 @@
   std::size_t mCurrencyAsks = 0; //!< requests since the last confirmation; rotates the peers asked
   bool mKeysAccepted = true;
   std::map<StoredKind, bool> mReachable;
+  std::uint64_t mStoreEpoch = 0;           //!< newest history of the store that is known
+  std::uint64_t mStoredConfigRevision = 0; //!< of the configuration as the store last told it
+  bool mStoreHasCurrent = true;   //!< the store's configuration is no older than the one in effect
   TimePoint mMembersKnownSince{}; //!< when the members became known; the epoch if they are not
   TimePoint mStopBegin{};
   std::uint64_t mTicks = 0;
--- a/src/sidecar/SidecarNodeLinks.cpp
+++ b/src/sidecar/SidecarNodeLinks.cpp
@@ -30,11 +30,16 @@
   };
   callbacks.heartbeat = [this] {
     return HeartbeatMessage{ mState.ConfigVersion(),
-                             mState.EvacuationsRevision(),
-                             mLinks.UnheardTags() };
+                             mState.EvacuationsAt().revision,
+                             mLinks.UnheardTags(),
+                             mState.EvacuationsAt().epoch,
+                             mStoreEpoch };
   };
   callbacks.onStatus = [this](PeerLink& aLink, const GateStatusMessage& aStatus) {
-    OnPeerState(aLink, aStatus.configVersion, aStatus.evacuationsRevision);
+    OnPeerState(aLink,
+                aStatus.configVersion,
+                { aStatus.evacuationsEpoch, aStatus.evacuationsRevision },
+                aStatus.storeEpoch);
   };
   callbacks.onCurrency = [this](std::uint64_t aVersion, TimePoint aAsOf) {
     if (mState.ConfigVersion() >= aVersion) {
@@ -70,13 +75,16 @@
     if (PeerLink* link = mLinks.Find(aHello.vm)) {
       link->OnPeerCame(*address);
     } else {
-      mLinks.Put({ aHello.vm, *address, aHello.failureDomain, aHello.service, 0 });
+      mLinks.Put({ aHello.vm, *address, aHello.failureDomain, aHello.service, {} });
     }
   };
   handlers.onHeartbeat = [this](const std::string& aVm, const HeartbeatMessage& aHeartbeat) {
     mLinks.NoteUnheard(aVm, aHeartbeat.unheard);
     if (PeerLink* link = mLinks.Find(aVm)) {
-      OnPeerState(*link, aHeartbeat.configVersion, aHeartbeat.evacuationsRevision);
+      OnPeerState(*link,
+                  aHeartbeat.configVersion,
+                  { aHeartbeat.evacuationsEpoch, aHeartbeat.evacuationsRevision },
+                  aHeartbeat.storeEpoch);
     }
   };
   handlers.takeRate = [this](const RateAskMessage& aAsk, const RateTokenBroker::VerdictFn& aDone) {
@@ -111,7 +119,9 @@
   status.grayPercent =
     static_cast<std::uint32_t>(100 * mGate.Health().GrayProbabilityAt(mClock.Now()));
   status.configVersion = mState.ConfigVersion();
-  status.evacuationsRevision = mState.EvacuationsRevision();
+  status.evacuationsRevision = mState.EvacuationsAt().revision;
+  status.evacuationsEpoch = mState.EvacuationsAt().epoch;
+  status.storeEpoch = mStoreEpoch;
   status.leaving = mGate.State().LeavingInstance();
   status.vm = mSettings.vmName;
   status.reachesStore = ReachesStore();
@@ -142,14 +152,18 @@
 }
 
 /** Pulls the state of a peer that has a newer version. */
-void SidecarNode::OnPeerState(PeerLink& aLink, std::uint64_t aConfig, std::uint64_t aEvacuations)
+void SidecarNode::OnPeerState(PeerLink& aLink,
+                              std::uint64_t aConfig,
+                              StorePosition aEvacuations,
+                              std::uint64_t aStoreEpoch)
 {
+  OnStoreEpoch(aStoreEpoch);
   const TimePoint now = mClock.Now();
   const bool near = aLink.Member().failureDomain == mSettings.failureDomain;
-  if (mConfigPull.ShouldPull(now, mState.ConfigVersion(), aConfig, near)) {
+  if (mConfigPull.ShouldPull(now, { 0, mState.ConfigVersion() }, { 0, aConfig }, near)) {
     aLink.Pull(SharedState::kConfig);
   }
-  if (mEvacuationPull.ShouldPull(now, mState.EvacuationsRevision(), aEvacuations, near)) {
+  if (mEvacuationPull.ShouldPull(now, mState.EvacuationsAt(), aEvacuations, near)) {
     aLink.Pull(SharedState::kEvacuations);
   }
 }
--- a/src/sidecar/SidecarNodeStore.cpp
+++ b/src/sidecar/SidecarNodeStore.cpp
@@ -20,38 +20,69 @@
 
 KindWatcher::Handlers SidecarNode::ConfigHandlers()
 {
-  const auto offer = [this](const StoredObject& aObject) {
-    if (!aObject.removed && aObject.name == mBinding.configName) {
-      mState.ApplyConfigIfNewer(aObject.spec, "store");
-    }
-  };
-  return { [offer](const std::vector<StoredObject>& aObjects, std::uint64_t) {
-            std::for_each(aObjects.begin(), aObjects.end(), offer);
+  return { [this](const std::vector<StoredObject>& aObjects, StorePosition) {
+            mStoreHasCurrent = false; // until the list shows it
+            for (const StoredObject& it : aObjects) {
+              OnStoredConfig(it);
+            }
           },
-           [offer](const StoredObject& aObject, std::uint64_t) { offer(aObject); },
+           [this](const StoredObject& aObject, StorePosition) { OnStoredConfig(aObject); },
            [this](bool aReachable, const std::string& aDetail) {
              OnStoreReachable(StoredKind::kConfig, aReachable, aDetail);
            },
            [this](TimePoint aAsOf) {
-             if (!mState.LastConfigRejected()) {
+             if (mStoreHasCurrent) {
                mKeys.Confirm(aAsOf);
              }
            } };
 }
 
+void SidecarNode::OnStoredConfig(const StoredObject& aObject)
+{
+  if (aObject.removed || aObject.name != mBinding.configName) {
+    return;
+  }
+  // A copy holds the configuration at the revision at which it was known before.
+  const bool written = aObject.revision != mStoredConfigRevision;
+  mStoredConfigRevision = aObject.revision;
+  mStoreHasCurrent = mState.ApplyConfigIfNewer(aObject.spec, "store");
+  if (written && mStoreHasCurrent) {
+    mKeys.OnRewritten();
+  }
+}
+
+void SidecarNode::OnStoreEpoch(std::uint64_t aEpoch)
+{
+  if (aEpoch <= mStoreEpoch) {
+    return;
+  }
+  const std::uint64_t before = std::exchange(mStoreEpoch, aEpoch);
+  if (before != 0) {
+    mKeys.OnHistoryReplaced(mClock.Now());
+    LogEvent(LogLevel::kWarn,
+             Event::kStoreHistoryReplaced,
+             { { "epoch", std::to_string(aEpoch) },
+               { "before", std::to_string(before) },
+               { "config", std::to_string(mState.ConfigVersion()) } });
+  }
+  mConfigWatcher.OnEpoch(aEpoch);
+  mEvacuationWatcher.OnEpoch(aEpoch);
+  mMemberWatcher.OnEpoch(aEpoch);
+}
+
 KindWatcher::Handlers SidecarNode::EvacuationHandlers()
 {
-  return { [this](const std::vector<StoredObject>& aObjects, std::uint64_t aRevision) {
+  return { [this](const std::vector<StoredObject>& aObjects, StorePosition aAt) {
             std::set<std::string> domains;
             for (const StoredObject& it : aObjects) {
               if (!it.removed) {
                 domains.insert(it.name);
               }
             }
-            mState.SetEvacuations(std::move(domains), aRevision, "store");
+            mState.SetEvacuations(std::move(domains), aAt, "store");
           },
-           [this](const StoredObject& aObject, std::uint64_t aRevision) {
-             mState.SetEvacuation(aObject.name, !aObject.removed, aRevision);
+           [this](const StoredObject& aObject, StorePosition aAt) {
+             mState.SetEvacuation(aObject.name, !aObject.removed, aAt);
            },
            [this](bool aReachable, const std::string& aDetail) {
              OnStoreReachable(StoredKind::kEvacuations, aReachable, aDetail);
@@ -60,13 +91,13 @@
 
 KindWatcher::Handlers SidecarNode::MemberHandlers()
 {
-  return { [this](const std::vector<StoredObject>& aObjects, std::uint64_t) {
-            mRegistrar.OnList(aObjects);
+  return { [this](const std::vector<StoredObject>& aObjects, StorePosition aAt) {
+            mRegistrar.OnList(aObjects, aAt);
             if (mMembersKnownSince == TimePoint{}) {
               mMembersKnownSince = mClock.Now();
             }
           },
-           [this](const StoredObject& aObject, std::uint64_t) { mRegistrar.OnChange(aObject); },
+           [this](const StoredObject& aObject, StorePosition) { mRegistrar.OnChange(aObject); },
            [this](bool aReachable, const std::string& aDetail) {
              OnStoreReachable(StoredKind::kMembers, aReachable, aDetail);
            } };
--- a/src/store/KindWatcher.cpp
+++ b/src/store/KindWatcher.cpp
@@ -73,19 +73,61 @@
     return;
   }
   SetReachable(true, {});
-  std::move(aReply.objects.begin(), aReply.objects.end(), std::back_inserter(mListed));
+  const std::uint64_t epoch = aReply.epoch.value_or(mEpoch);
+  if (epoch < mEpoch) { // of an earlier history
+    mListed.clear();
+    mListFreshness = Freshness::kNewest;
+    CallLater();
+    return;
+  }
+  if (!mListed.empty() && epoch != mListedEpoch) { // the pages do not belong together
+    mListed.clear();
+    List();
+    return;
+  }
+  mEpoch = epoch;
+  mListedEpoch = epoch;
+  for (StoredObject& it : aReply.objects) {
+    it.epoch = epoch;
+    mListed.push_back(std::move(it));
+  }
   if (aReply.more && !aReply.objects.empty()) {
     List();
     return;
   }
-  mRevision = aReply.revision;
+  mPosition = { epoch, aReply.revision };
   mHasList = true;
   const Freshness freshness = std::exchange(mListFreshness, Freshness::kNewest);
-  mHandlers.onList(std::exchange(mListed, {}), mRevision);
+  mHandlers.onList(std::exchange(mListed, {}), mPosition);
   ReportCurrent(mListBegin, freshness);
   WatchAfterGap();
 }
 
+void KindWatcher::OnEpoch(std::uint64_t aEpoch)
+{
+  if (aEpoch <= mEpoch) {
+    return;
+  }
+  mEpoch = aEpoch;
+  if (mHasList) { // otherwise the list under way is judged when it comes
+    ListAnew();
+  }
+}
+
+/** Nothing of an earlier history is asked for or believed any more. */
+void KindWatcher::ListAnew()
+{
+  mHasList = false;
+  mListFreshness = Freshness::kNewest;
+  ++mWatch; // the answer to the watch under way is dropped
+  mWatching = false;
+  if (mPausing || mInGap) {
+    mTimer.cancel(); // its handler lists
+  } else {
+    List();
+  }
+}
+
 void KindWatcher::Watch()
 {
   if (mStopped) {
@@ -100,7 +142,7 @@
         OnWatch(aReply, sent, freshness);
       }
     };
-  mStore.watch(mKind, mRevision, mWait, mFreshness, onReply);
+  mStore.watch(mKind, mPosition.revision, mWait, mFreshness, onReply);
 }
 
 void KindWatcher::SetWait(Milliseconds aWait, Freshness aFreshness)
@@ -125,8 +167,7 @@
 {
   LogReply("watch", aReply);
   if (aReply.status == StoreStatus::kHistoryGone) {
-    mHasList = false;
-    List();
+    OnHistoryGone();
     return;
   }
   if (aReply.status != StoreStatus::kDone) {
@@ -134,14 +175,38 @@
     return;
   }
   SetReachable(true, {});
-  for (const StoredObject& it : aReply.objects) {
-    mHandlers.onChange(it, aReply.revision);
+  mGoneLast = false;
+  const std::uint64_t epoch = aReply.epoch.value_or(mPosition.epoch);
+  if (epoch > mPosition.epoch) {
+    mEpoch = std::max(mEpoch, epoch);
+    ListAnew();
+    return;
+  }
+  if (epoch < mPosition.epoch) { // of a replica that lags
+    CallLater();
+    return;
   }
-  mRevision = std::max(mRevision, aReply.revision);
+  const StorePosition after{ epoch, std::max(mPosition.revision, aReply.revision) };
+  for (StoredObject it : aReply.objects) {
+    it.epoch = epoch;
+    mHandlers.onChange(it, after);
+  }
+  mPosition = after;
   ReportCurrent(aSent, aFreshness);
   WatchAfterGap();
 }
 
+/** A store that has no history for the revision of its own list would be listed without end. */
+void KindWatcher::OnHistoryGone()
+{
+  mHasList = false;
+  if (std::exchange(mGoneLast, true)) {
+    CallLater();
+  } else {
+    List();
+  }
+}
+
 void KindWatcher::WatchAfterGap()
 {
   if (mGap.count() == 0) {
@@ -152,7 +217,7 @@
   mTimer.expires_after(mGap);
   mTimer.async_wait([this](const boost::system::error_code&) {
     mInGap = false;
-    Watch();
+    CallNow();
   });
 }
 
@@ -164,7 +229,7 @@
              { "kind", std::to_string(static_cast<int>(mKind)) },
              { "status", std::to_string(static_cast<int>(aReply.status)) },
              { "objects", std::to_string(aReply.objects.size()) },
-             { "since", std::to_string(mRevision) },
+             { "since", std::to_string(mPosition.revision) },
              { "revision", std::to_string(aReply.revision) },
              { "epoch", aReply.epoch ? std::to_string(*aReply.epoch) : "none" } });
 }
@@ -172,16 +237,27 @@
 void KindWatcher::Pause(const std::string& aDetail)
 {
   SetReachable(false, aDetail);
+  CallLater();
+}
+
+void KindWatcher::CallNow()
+{
+  if (mHasList) {
+    Watch();
+  } else {
+    List();
+  }
+}
+
+/** Calls again after a pause that grows. */
+void KindWatcher::CallLater()
+{
   mPausing = true;
   mTimer.expires_after(mPause);
   mPause = std::min(2 * mPause, kLongestPause);
   mTimer.async_wait([this](const boost::system::error_code&) {
     mPausing = false;
-    if (mHasList) {
-      Watch();
-    } else {
-      List();
-    }
+    CallNow();
   });
 }
 
--- a/src/store/KindWatcher.h
+++ b/src/store/KindWatcher.h
@@ -2,6 +2,7 @@
 
 #include "mustardwinch/Clock.h"
 #include "store/ObjectStore.h"
+#include "store/StorePosition.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -15,17 +16,21 @@
 
 /**
  * Follows one kind of objects: lists it, then watches, and lists anew when the store has dropped
- * its history. Failed calls are repeated with a growing pause, since each is charged.
+ * its history or goes on in another one. Failed calls are repeated with a growing pause, since each
+ * is charged.
+ *
+ * Load pattern: the store comes back from a copy, and its new history passes the watched revision
+ * before the next watch, so the store finds nothing wrong with that watch.
  */
 class KindWatcher
 {
 public:
   struct Handlers
   {
-    /** The whole kind as of a revision of the store. */
-    std::function<void(std::vector<StoredObject>, std::uint64_t)> onList;
-    /** One change. The second argument is the store's revision after all changes of the batch. */
-    std::function<void(const StoredObject&, std::uint64_t)> onChange;
+    /** The whole kind as of a position of the store. */
+    std::function<void(std::vector<StoredObject>, StorePosition)> onList;
+    /** One change. The second argument is the store's position after all changes of the batch. */
+    std::function<void(const StoredObject&, StorePosition)> onChange;
     /** The store began or ceased to answer. */
     std::function<void(bool aReachable, const std::string& aDetail)> onReachable;
     /** All changes that the store acknowledged before aAsOf are known. Not called for answers that
@@ -59,15 +64,22 @@
   /** The next watch begins now instead of after the gap. */
   void SkipGap();
 
+  /** The store has a history of this epoch: lists anew if what is known is of an earlier one. */
+  void OnEpoch(std::uint64_t aEpoch);
+
 private:
   void List();
   void OnList(StoreReply aReply);
   void Watch();
   void WatchAfterGap();
   void OnWatch(const StoreReply& aReply, TimePoint aSent, Freshness aFreshness);
+  void OnHistoryGone();
+  void ListAnew();
   void ReportCurrent(TimePoint aAsOf, Freshness aFreshness) const;
   void LogReply(const char* aCall, const StoreReply& aReply) const;
   void Pause(const std::string& aDetail);
+  void CallLater();
+  void CallNow();
   void SetReachable(bool aReachable, const std::string& aDetail);
 
   Clock& mClock;
@@ -77,9 +89,12 @@
   const Milliseconds mGap; //!< pause before each watch; changes meanwhile come in one answer
   boost::asio::steady_timer mTimer;
   std::vector<StoredObject> mListed;
-  TimePoint mListBegin{}; //!< when the first page of the current list was requested
-  std::uint64_t mRevision = 0;
+  std::uint64_t mListedEpoch = 0; //!< of the pages in mListed
+  TimePoint mListBegin{};         //!< when the first page of the current list was requested
+  StorePosition mPosition;        //!< up to which changes are known
+  std::uint64_t mEpoch = 0;       //!< newest history that the store is known to have
   std::uint64_t mWatch = 0; //!< number of the latest watch; answers of earlier ones are dropped
+  bool mGoneLast = false;   //!< the history was gone for the last watch as well
   Milliseconds mWait;
   Freshness mFreshness = Freshness::kNewest;
   /** The watch that follows the first list tells at once what that list lacked; a list after lost
--- a/src/store/StoredObject.h
+++ b/src/store/StoredObject.h
@@ -21,7 +21,8 @@
   std::string name;
   std::uint64_t revision = 0; //!< of its last change
   nlohmann::json spec;
-  bool removed = false; //!< in a watch: the object is gone
+  bool removed = false;    //!< in a watch: the object is gone
+  std::uint64_t epoch = 0; //!< of the history in which the revision counts
 
   bool operator==(const StoredObject&) const = default;
 };
--- a/tests/fleet/PullDecisionTest.cpp
+++ b/tests/fleet/PullDecisionTest.cpp
@@ -8,7 +8,10 @@
 
 struct PullFixture
 {
-  bool Hear(std::uint64_t aTheirs, bool aNear) { return pull.ShouldPull(now, own, aTheirs, aNear); }
+  bool Hear(std::uint64_t aTheirs, bool aNear)
+  {
+    return pull.ShouldPull(now, { 0, own }, { 0, aTheirs }, aNear);
+  }
 
   TimePoint now{ Seconds(1'000) };
   std::uint64_t own = 5;
@@ -57,3 +60,14 @@
   CHECK_FALSE(Hear(5, true));
   CHECK_FALSE(Hear(4, true));
 }
+
+// Guards against a state of the lost history that is never replaced, since its revision is greater.
+TEST_CASE_FIXTURE(PullFixture, "PullDecision, smaller revision of a later epoch, is fetched")
+{
+  const StorePosition held{ 1, 50 };
+  const StorePosition theirs{ 2, 12 };
+  CHECK_FALSE(pull.ShouldPull(now, theirs, held, true));
+  pull.ShouldPull(now, held, theirs, true);
+  now += Seconds(1);
+  CHECK(pull.ShouldPull(now, held, theirs, true));
+}
--- a/tests/sidecar/RestoredStoreTest.cpp
+++ b/tests/sidecar/RestoredStoreTest.cpp
@@ -126,3 +126,50 @@
     Milliseconds(500));
   CHECK(reached);
 }
+
+// Guards against work for a failure domain while operators write its lost evacuation again.
+TEST_CASE_FIXTURE(RestoredStore, "Restored store, evacuation after the copy, is obeyed throughout")
+{
+  store.TakeCopy();
+  store.Put("evacuations", "a", json::object());
+  REQUIRE(RunUntil([&] { return AllAnswer("/safe/x", 503); }, kEvacuationBound));
+  store.RestoreCopy();
+  store.Put("config", "main", ConfigWithRoute("r4", "/r4/"));
+  CHECK(RunUntil([&] { return AllAnswer("/r4/x", 503); }, kConfigBound)); // listed anew by all
+  CHECK(AllAnswer("/safe/x", 503));
+  store.Put("evacuations", "a", json::object());
+  RunFor(Milliseconds(1'500));
+  CHECK(AllAnswer("/safe/x", 503));
+  store.Remove("evacuations", "a");
+  CHECK(RunUntil([&] { return AllAnswer("/safe/x", 200); }, kEvacuationBound));
+}
+
+TEST_CASE_FIXTURE(RestoredStore,
+                  "Restored store, node starts at an older copy, has the fleet's state")
+{
+  store.TakeCopy();
+  store.Put("config", "main", ConfigWithRoute("r4", "/r4/"));
+  REQUIRE(RunUntil([&] { return AllAnswer("/r4/x", 200); }, kConfigBound));
+  store.RestoreCopy();
+  Kill(members[0]);
+  Boot(members[0]);
+  REQUIRE(RunUntil([&] { return Get(members[0].settings.readiness, "/api/ready").status == 200; }));
+  CHECK(RunUntil([&] { return AllAnswer("/r4/x", 200); }, kConfigBound));
+}
+
+// Guards against changes that are lost when the store comes back several times in a row.
+TEST_CASE_FIXTURE(RestoredStore, "Restored store, back from copies in series, each route is served")
+{
+  for (int i = 0; i < 4; ++i) {
+    const std::string name = "r" + std::to_string(10 + i);
+    CopyThenGrow();
+    store.SetFault(soak::StandinStore::Fault::kBusy);
+    store.CutWatches();
+    RunFor(Milliseconds(400));
+    store.RestoreCopy();
+    store.Put("config", "main", ConfigWithRoute(name, "/" + name + "/"));
+    GrowRevision("config", 30);
+    store.SetFault(soak::StandinStore::Fault::kNone);
+    CHECK(RunUntil([&] { return AllAnswer("/" + name + "/x", 200); }, kConfigBound));
+  }
+}
--- a/tests/sidecar/StoreClientTest.cpp
+++ b/tests/sidecar/StoreClientTest.cpp
@@ -120,12 +120,12 @@
     clock,
     calls,
     StoredKind::kConfig,
-    { [&](const std::vector<StoredObject>& aObjects, std::uint64_t) {
+    { [&](const std::vector<StoredObject>& aObjects, StorePosition) {
        for (const StoredObject& it : aObjects) {
          seen.push_back(it.spec);
        }
      },
-      [&](const StoredObject& aObject, std::uint64_t) { seen.push_back(aObject.spec); },
+      [&](const StoredObject& aObject, StorePosition) { seen.push_back(aObject.spec); },
       [](bool, const std::string&) {} });
   watcher.SetWait(Milliseconds(300));
   watcher.Start();
@@ -149,8 +149,8 @@
     clock,
     calls,
     StoredKind::kConfig,
-    { [&](const std::vector<StoredObject>&, std::uint64_t) { ++lists; },
-      [](const StoredObject&, std::uint64_t) {},
+    { [&](const std::vector<StoredObject>&, StorePosition) { ++lists; },
+      [](const StoredObject&, StorePosition) {},
       [&](bool aReachable, const std::string&) { reachable.push_back(aReachable); } });
   store.SetFault(Fault::kBusy);
   watcher.Start();
@@ -171,8 +171,8 @@
     clock,
     calls,
     StoredKind::kMembers,
-    { [&](const std::vector<StoredObject>&, std::uint64_t) { ++lists; },
-      [&](const StoredObject& aObject, std::uint64_t) { seen.push_back(aObject.name); },
+    { [&](const std::vector<StoredObject>&, StorePosition) { ++lists; },
+      [&](const StoredObject& aObject, StorePosition) { seen.push_back(aObject.name); },
       [](bool, const std::string&) {} },
     Seconds(60));
   watcher.Start();
@@ -240,8 +240,8 @@
                       clock,
                       store,
                       StoredKind::kConfig,
-                      { [](const auto&, std::uint64_t) {},
-                        [](const auto&, std::uint64_t) {},
+                      { [](const auto&, StorePosition) {},
+                        [](const auto&, StorePosition) {},
                         [](bool, const std::string&) {} });
   watcher.Start();
   StoreReply gone;
@@ -271,8 +271,8 @@
                       clock,
                       store,
                       StoredKind::kConfig,
-                      { [](const auto&, std::uint64_t) {},
-                        [](const auto&, std::uint64_t) {},
+                      { [](const auto&, StorePosition) {},
+                        [](const auto&, StorePosition) {},
                         [](bool, const std::string&) {},
                         [&](TimePoint aAsOf) { confirmed.push_back(aAsOf); } });
   watcher.Start(); // the first list may lag
