mwnode: versions of the platform are ordered by its history, and what a copy lacks is kept for a while

Nodes took its lists for stale ('older than the last seen revision') until its numbers had caught up, and left out each object whose number was less than the one held, for good. A version is now the epoch above the number, in one place (PlatformVersion, HttpPlatform); a version of another history is a conflict, a watch from it lists anew.

--- a/src/membership/FleetCore.cpp
+++ b/src/membership/FleetCore.cpp
@@ -1,12 +1,13 @@
 #include "membership/FleetCore.h"
 
-#include "config/ConfigRecord.h"
 #include "membership/GossipCodec.h"
+#include "membership/ListedRecords.h"
 #include "membership/WatcherElection.h"
+#include "platform/PlatformVersion.h"
+#include "store/RewriteTime.h"
 
 #include <algorithm>
 #include <cassert>
-#include <unordered_set>
 #include <utility>
 #include <variant>
 
@@ -55,17 +56,6 @@
   return std::to_string(static_cast<int>(aAnnouncement.family)) + aAnnouncement.key;
 }
 
-std::string KeyOf(const PlatformObject& aObject)
-{
-  return aObject.kind + "/" + aObject.name;
-}
-
-Record::Ptr RecordOf(const PlatformObject& aObject)
-{
-  return ConfigRecord::Make(
-    { aObject.kind, aObject.name, aObject.specVersion, aObject.deleted, aObject.spec });
-}
-
 /** Clears the load, which changes too often to trigger a publication. */
 std::vector<UpstreamRecord> WithoutLoad(std::vector<UpstreamRecord> aUpstreams)
 {
@@ -75,12 +65,6 @@
   return aUpstreams;
 }
 
-bool HasKind(std::string_view aKey, const std::vector<std::string>& aKinds)
-{
-  const std::string_view kind = aKey.substr(0, aKey.find('/'));
-  return std::find(aKinds.begin(), aKinds.end(), kind) != aKinds.end();
-}
-
 } // namespace
 
 FleetCore::FleetCore(Options aOptions)
@@ -461,6 +445,7 @@
     mAnnouncementsPending = true;
   }
   if (aFamily == RecordFamily::kConfig) {
+    NoteHistory(aRecord->Version().major, aNow);
     mDigestChangedAt = aNow;
     mFreshness.OnDigest(mConfig.Digest());
     mOutput.configChanges.push_back({ before, aRecord });
@@ -525,33 +510,35 @@
   mAnnouncementsPending = false;
 }
 
+/** A version of a later history than those known: the platform has come back from a copy. */
+void FleetCore::NoteHistory(std::uint64_t aVersion, TimePoint aNow)
+{
+  const std::uint64_t epoch = PlatformEpochOf(aVersion);
+  if (epoch > mPlatformEpoch) {
+    mPlatformEpoch = epoch;
+    mKeepLostUntil = aNow + kRewriteTime;
+    Notice(LogLevel::kWarn, Event::kStoreHistoryReplaced, std::to_string(epoch));
+  }
+}
+
 bool FleetCore::OnPlatform(const PlatformChanges& aChanges,
                            const std::vector<std::string>& aKinds,
                            bool aIsList,
                            TimePoint aSentAt,
                            TimePoint aNow)
 {
+  NoteHistory(aChanges.revision, aNow);
   // Records of any response are applied, since the newest version wins.
-  std::unordered_set<std::string> listed;
-  for (const PlatformObject& it : aChanges.objects) {
-    listed.insert(KeyOf(it));
-    if (const Record::Ptr record = RecordOf(it)) {
-      Apply(RecordFamily::kConfig, record, mLoaded, aNow);
-    }
-  }
   if (aIsList) {
-    std::vector<Record::Ptr> missing;
-    for (std::size_t n = 0; n < RecordStore::kBuckets; ++n) {
-      for (const Record::Ptr& it : mConfig.At(n)) {
-        const bool covered = it->Version().major <= aChanges.revision && HasKind(it->Key(), aKinds);
-        if (covered && !it->IsDeleted() && !listed.contains(std::string(it->Key()))) {
-          missing.push_back(Record::Make(it->Key(), { aChanges.revision, 0 }, true, {}));
-        }
-      }
+    const auto lost = aNow < mKeepLostUntil ? LostRecords::kKeep : LostRecords::kGiveUp;
+    for (const Record::Ptr& it : RecordsOfList(mConfig, aChanges, aKinds, lost)) {
+      Apply(RecordFamily::kConfig, it, mLoaded, aNow);
     }
-    for (const Record::Ptr& it : missing) {
-      // The list's revision supersedes the last version and is superseded by a later creation.
-      Apply(RecordFamily::kConfig, it, true, aNow);
+  } else {
+    for (const PlatformObject& it : aChanges.objects) {
+      if (const Record::Ptr record = RecordOf(it)) {
+        Apply(RecordFamily::kConfig, record, mLoaded, aNow);
+      }
     }
   }
   if (mAnnouncementsPending) {
--- a/src/membership/FleetCore.h
+++ b/src/membership/FleetCore.h
@@ -63,7 +63,8 @@
 
   /**
    * Applies the platform's response to a call that was sent at aSentAt. With aIsList, objects of
-   * aKinds that the list lacks count as deleted unless their version is above the list's.
+   * aKinds that the list lacks count as deleted unless their version is above the list's; what the
+   * platform has just lost is kept for kRewriteTime.
    * @return false if the response is older than known state; it then does not count as a contact
    */
   bool OnPlatform(const PlatformChanges& aChanges,
@@ -117,6 +118,7 @@
   void Accept(const RecordCopy& aCopy, bool aSpread, TimePoint aNow);
   bool Apply(RecordFamily aFamily, const Record::Ptr& aRecord, bool aSpread, TimePoint aNow);
   bool IsAcceptable(RecordFamily aFamily, std::string_view aKey, RecordVersion aVersion) const;
+  void NoteHistory(std::uint64_t aVersion, TimePoint aNow);
   void OnNodeRecord(const Record& aRecord, TimePoint aNow);
   void PublishGate(std::string_view aMember);
   void PublishOwnRecord(TimePoint aNow);
@@ -145,6 +147,8 @@
   std::vector<UpstreamRecord> mUpstreams;
   std::uint64_t mSequence = 0;
   std::uint64_t mPlatformRevision = 0;
+  std::uint64_t mPlatformEpoch = 0; //!< newest history of the platform that is known
+  TimePoint mKeepLostUntil{};       //!< what that history lacks holds until then
   /** Digest last sent to the first watcher of the failure domain. */
   std::uint64_t mReportedDigest = 0;
   TimePoint mNextReport{};
--- a/src/membership/PlatformWatcher.cpp
+++ b/src/membership/PlatformWatcher.cpp
@@ -1,6 +1,7 @@
 #include "membership/PlatformWatcher.h"
 
 #include "mustardwinch/Event.h"
+#include "platform/PlatformVersion.h"
 
 #include <algorithm>
 #include <utility>
@@ -27,6 +28,10 @@
     mListRequired = true;
     return kIdleWait;
   }
+  if (mListAt && mClock.Now() >= *mListAt) {
+    mListAt.reset();
+    mListRequired = true;
+  }
   const bool list = mListRequired;
   const TimePoint sentAt = mClock.Now();
   Result<PlatformChanges> answer =
@@ -38,6 +43,15 @@
     return OnError(
       { ResultCode::kPlatformBadAnswer, "the response is older than the last seen revision" });
   }
+  const std::uint64_t epoch = PlatformEpochOf(answer.Value().revision);
+  if (!list && epoch > mEpoch) { // a watch of another history
+    mListRequired = true;
+    return kCallInterval;
+  }
+  if (epoch > mEpoch) {
+    mEpoch = epoch;
+    mListAt = mClock.Now() + kRelistDelay;
+  }
   OnAnswer(std::move(answer.Value()), list, sentAt);
   return kCallInterval;
 }
--- a/src/membership/PlatformWatcher.h
+++ b/src/membership/PlatformWatcher.h
@@ -2,9 +2,11 @@
 
 #include "membership/PlatformReader.h"
 #include "mustardwinch/Clock.h"
+#include "store/RewriteTime.h"
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -27,6 +29,9 @@
   static constexpr Milliseconds kIdleWait{ 200 };
   /** Delay between two calls, so that frequent changes do not cause a busy loop of calls. */
   static constexpr Milliseconds kCallInterval{ 20 };
+  /** A platform that came back from a copy is listed again after this time: by then its writers
+   * have written again what it lost, and nobody keeps the rest. */
+  static constexpr Milliseconds kRelistDelay = kRewriteTime + Milliseconds(1'000);
 
   /** Receives a response, whether it is a list, and when its call was sent. */
   using Sink = std::function<void(PlatformChanges aChanges, bool aIsList, TimePoint aSentAt)>;
@@ -54,6 +59,8 @@
   Sink mSink;
   std::mt19937_64 mRandom;
   std::uint64_t mRevision = 0;
+  std::uint64_t mEpoch = 0;         //!< of the platform's history that was last listed
+  std::optional<TimePoint> mListAt; //!< when the platform is to be listed again
   bool mListRequired = true;
   bool mUnreachable = false;
   Milliseconds mBackoff = kInitialBackoff;
--- a/src/platform/HttpCall.h
+++ b/src/platform/HttpCall.h
@@ -4,6 +4,7 @@
 #include "mustardwinch/Result.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -27,6 +28,8 @@
 {
   long status = 0;
   std::string body;
+  std::uint64_t epoch = 0;      //!< of the platform's history; 0 if it does not tell
+  std::uint64_t epochBegin = 0; //!< last number that the history took over from a copy
 
   bool operator==(const HttpAnswer&) const = default;
 };
--- a/src/platform/HttpPlatform.cpp
+++ b/src/platform/HttpPlatform.cpp
@@ -1,10 +1,14 @@
 #include "platform/HttpPlatform.h"
 
+#include "gate/HttpHeader.h"
 #include "platform/HttpCall.h"
 #include "platform/JsonText.h"
 #include "platform/PlatformJson.h"
 #include "platform/PlatformLimits.h"
+#include "platform/PlatformVersion.h"
 
+#include <algorithm>
+#include <charconv>
 #include <mutex>
 #include <string_view>
 
@@ -37,15 +41,63 @@
   return n;
 }
 
-/** Notes whether the last head is whole: interim ones come before it, and trailers after it. */
-std::size_t NoteHeadLine(char* aData, std::size_t aSize, std::size_t aCount, void* aHeadWhole)
+/** What the head of an answer tells. */
+struct HeadSink
+{
+  bool whole = false; //!< the last head is: interim ones come before it, and trailers after it
+  std::uint64_t epoch = 0;
+  std::uint64_t epochBegin = 0;
+};
+
+/** Reads the number in a header line of this name; others, and larger numbers, change nothing. */
+void ReadNumber(std::string_view aLine,
+                const char* aName,
+                std::uint64_t aMost,
+                std::uint64_t& aNumber)
+{
+  const std::size_t colon = aLine.find(':');
+  if (colon == std::string_view::npos || !SameHeaderName(aLine.substr(0, colon), aName)) {
+    return;
+  }
+  const std::size_t begin = std::min(aLine.find_first_not_of(' ', colon + 1), aLine.size());
+  std::uint64_t n = 0;
+  const auto result = std::from_chars(aLine.data() + begin, aLine.data() + aLine.size(), n);
+  if (result.ec == std::errc() && n <= aMost) {
+    aNumber = n;
+  }
+}
+
+std::size_t ReadHeadLine(char* aData, std::size_t aSize, std::size_t aCount, void* aHead)
 {
   const std::string_view line(aData, aSize * aCount);
-  bool& whole = *static_cast<bool*>(aHeadWhole);
-  whole = line == "\r\n" || line == "\n" || (whole && !line.starts_with("HTTP/"));
+  auto& head = *static_cast<HeadSink*>(aHead);
+  head.whole = line == "\r\n" || line == "\n" || (head.whole && !line.starts_with("HTTP/"));
+  ReadNumber(line, kPlatformEpochHeader, kMaxPlatformEpoch, head.epoch);
+  ReadNumber(line, kPlatformEpochBeginHeader, kMaxPlatformNumber, head.epochBegin);
   return line.size();
 }
 
+std::string EpochHeader(std::uint64_t aVersion)
+{
+  return std::string(kPlatformEpochHeader) + ": " + std::to_string(PlatformEpochOf(aVersion));
+}
+
+/** Puts the epoch of the answer into the versions that it holds. */
+void SetEpoch(PlatformObject& aObject, const HttpAnswer& aAnswer)
+{
+  aObject.version = MakePlatformVersion(aAnswer.epoch, aObject.version);
+  aObject.specVersion = MakePlatformVersion(aAnswer.epoch, aObject.specVersion);
+}
+
+void SetEpoch(PlatformChanges& aChanges, const HttpAnswer& aAnswer)
+{
+  aChanges.revision += aAnswer.epoch << kPlatformNumberBits;
+  aChanges.epochBegin = MakePlatformVersion(aAnswer.epoch, aAnswer.epochBegin);
+  for (PlatformObject& it : aChanges.objects) {
+    SetEpoch(it, aAnswer);
+  }
+}
+
 void InitCurlOnce()
 {
   static std::once_flag sOnce;
@@ -123,7 +175,11 @@
   if (CodeOfStatus(aAnswer.Value().status) != ResultCode::kOk) {
     return FailureOf(aAnswer.Value());
   }
-  return aRead(aAnswer.Value().body);
+  Result<T> value = aRead(aAnswer.Value().body);
+  if (value) {
+    SetEpoch(value.Value(), aAnswer.Value());
+  }
+  return value;
 }
 
 /** Guards against an answer that belongs to another request. */
@@ -205,7 +261,8 @@
   if (aWrite.part == PlatformWrite::Part::kStatus) {
     call.path += "/status";
   }
-  call.headers = { "If-Match: " + std::to_string(aWrite.expectedVersion),
+  call.headers = { "If-Match: " + std::to_string(PlatformNumberOf(aWrite.expectedVersion)),
+                   EpochHeader(aWrite.expectedVersion),
                    "Content-Type: application/json",
                    "Expect:" };
   call.body = DumpJson(WriteBodyToJson(aWrite));
@@ -223,8 +280,10 @@
   }
   HttpCall call;
   call.method = "GET";
-  call.path = "/watch?kinds=" + JoinKinds(aKinds) + "&from=" + std::to_string(aRevision) +
+  call.path = "/watch?kinds=" + JoinKinds(aKinds) +
+              "&from=" + std::to_string(PlatformNumberOf(aRevision)) +
               "&wait_ms=" + std::to_string(aWait.count());
+  call.headers = { EpochHeader(aRevision) };
   call.timeout = aWait + mOptions.watchSlack;
   return ReadAnswer(Call(call), ChangesFromText);
 }
@@ -258,7 +317,7 @@
   const std::string url = "http://" + aAddress.ToString() + aCall.path;
   const HeaderList headers = MakeHeaders(aCall.headers);
   BodySink sink{ {}, mOptions.maxAnswerBytes };
-  bool headWhole = false;
+  HeadSink head;
 
   curl_easy_setopt(curl, CURLOPT_URL, url.c_str());
   curl_easy_setopt(curl, CURLOPT_CUSTOMREQUEST, aCall.method.c_str());
@@ -269,8 +328,8 @@
   curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, long{ aCall.timeout.count() });
   curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, &AppendBody);
   curl_easy_setopt(curl, CURLOPT_WRITEDATA, &sink);
-  curl_easy_setopt(curl, CURLOPT_HEADERFUNCTION, &NoteHeadLine);
-  curl_easy_setopt(curl, CURLOPT_HEADERDATA, &headWhole);
+  curl_easy_setopt(curl, CURLOPT_HEADERFUNCTION, &ReadHeadLine);
+  curl_easy_setopt(curl, CURLOPT_HEADERDATA, &head);
   if (aCall.isWrite) {
     curl_easy_setopt(curl, CURLOPT_POSTFIELDSIZE_LARGE, curl_off_t(aCall.body.size()));
     curl_easy_setopt(curl, CURLOPT_POSTFIELDS, aCall.body.c_str());
@@ -290,12 +349,14 @@
     return { ResultCode::kPlatformUnavailable,
              aAddress.ToString() + ": " + curl_easy_strerror(code) };
   }
-  if (!headWhole) { // libcurl reports no error for an end inside the head
+  if (!head.whole) { // libcurl reports no error for an end inside the head
     return { ResultCode::kPlatformUnavailable, aAddress.ToString() + ": the head was cut" };
   }
   HttpAnswer answer;
   curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE, &answer.status);
   answer.body = std::move(sink.body);
+  answer.epoch = head.epoch;
+  answer.epochBegin = head.epochBegin;
   return answer;
 }
 
--- a/src/platform/MemoryPlatform.cpp
+++ b/src/platform/MemoryPlatform.cpp
@@ -1,6 +1,7 @@
 #include "platform/MemoryPlatform.h"
 
 #include "platform/PlatformLimits.h"
+#include "platform/PlatformVersion.h"
 
 #include <algorithm>
 #include <chrono>
@@ -186,6 +187,7 @@
 {
   PlatformChanges changes;
   changes.revision = mRevision;
+  changes.epochBegin = mEpochBegin;
   for (auto it = mByVersion.upper_bound(aRevision); it != mByVersion.end(); ++it) {
     if (std::find(aKinds.begin(), aKinds.end(), it->second.first) != aKinds.end()) {
       changes.objects.push_back(mEntries.at(it->second).now);
@@ -271,6 +273,47 @@
   CompactUpTo(mRevision);
 }
 
+void MemoryPlatform::TakeCopy()
+{
+  std::lock_guard lock(mMutex);
+  mCopy = mEntries;
+  mCopyRevision = mRevision;
+}
+
+void MemoryPlatform::RestoreCopy()
+{
+  std::lock_guard lock(mMutex);
+  ++mEpoch;
+  const auto inThisHistory = [this](std::uint64_t aVersion) {
+    return MakePlatformVersion(mEpoch, PlatformNumberOf(aVersion));
+  };
+  mEntries = mCopy;
+  mByVersion.clear();
+  for (auto& [key, entry] : mEntries) {
+    entry.before.reset();
+    entry.now.version = inThisHistory(entry.now.version);
+    entry.now.specVersion = inThisHistory(entry.now.specVersion);
+    mByVersion[entry.now.version] = key;
+  }
+  // An empty copy has no number, but its history has an epoch.
+  mRevision = (mEpoch << kPlatformNumberBits) + PlatformNumberOf(mCopyRevision);
+  mCompacted = mRevision;
+  mEpochBegin = mRevision;
+  mChanged.notify_all();
+}
+
+std::uint64_t MemoryPlatform::Epoch() const
+{
+  std::lock_guard lock(mMutex);
+  return mEpoch;
+}
+
+std::uint64_t MemoryPlatform::EpochBegin() const
+{
+  std::lock_guard lock(mMutex);
+  return mEpochBegin;
+}
+
 void MemoryPlatform::Close()
 {
   std::lock_guard lock(mMutex);
--- a/src/platform/MemoryPlatform.h
+++ b/src/platform/MemoryPlatform.h
@@ -47,6 +47,18 @@
   /** Forgets all tombstones; a watch from before this moment is answered kPlatformCompacted. */
   void Compact();
 
+  /** Copies all objects, in place of the last copy. */
+  void TakeCopy();
+
+  /** Comes back from the last copy, in a history with the next epoch: what was written since is
+   * gone, and its numbers are given out again. Earlier watches are answered kPlatformCompacted. */
+  void RestoreCopy();
+
+  std::uint64_t Epoch() const;
+
+  /** Last version that this history took over from a copy; 0 if it is the first one. */
+  std::uint64_t EpochBegin() const;
+
   /** Fails all calls from now on, also those that wait. */
   void Close();
 
@@ -79,6 +91,10 @@
   std::map<std::uint64_t, Key> mByVersion; //!< where each object's last write is
   std::uint64_t mRevision = 0;
   std::uint64_t mCompacted = 0; //!< a watch may not start before this revision
+  std::map<Key, Entry> mCopy;
+  std::uint64_t mCopyRevision = 0;
+  std::uint64_t mEpoch = 0;
+  std::uint64_t mEpochBegin = 0;
   PlatformFaults mFaults;
   PlatformCounts mCounts;
   bool mClosed = false;
--- a/src/platform/PlatformChanges.h
+++ b/src/platform/PlatformChanges.h
@@ -13,6 +13,7 @@
 {
   std::uint64_t revision = 0;
   std::vector<PlatformObject> objects; //!< in order of version; deletions are marked
+  std::uint64_t epochBegin = 0; //!< last version that this history took over from a copy; 0: none
 
   bool operator==(const PlatformChanges&) const = default;
 };
--- a/src/platform/PlatformServer.cpp
+++ b/src/platform/PlatformServer.cpp
@@ -3,9 +3,11 @@
 #include "platform/JsonText.h"
 #include "platform/PlatformJson.h"
 #include "platform/PlatformLimits.h"
+#include "platform/PlatformVersion.h"
 
 #include <civetweb.h>
 
+#include <algorithm>
 #include <array>
 #include <cassert>
 #include <charconv>
@@ -20,6 +22,7 @@
 
 constexpr Milliseconds kMaxWatchWait{ 60'000 };
 constexpr const char* kConnectionTimeoutMs = "65000"; //!< longer than the longest watch
+constexpr int kOkStatus = 200;
 constexpr std::size_t kReadChunkBytes = 16 * 1024;
 constexpr std::size_t kEnvelopeBytes = 4 * 1024; //!< what surrounds the value in a write's body
 
@@ -29,6 +32,8 @@
   int status = 200;
   std::string body;
   bool silent = false; //!< the connection is closed without an answer
+  std::uint64_t epoch = 0;
+  std::uint64_t epochBegin = 0; //!< as a number of that epoch
 };
 
 struct Request
@@ -37,6 +42,7 @@
   std::vector<std::string> segments; //!< of the path
   std::string_view query;
   std::string_view ifMatch;
+  std::uint64_t epoch = 0; //!< of the history that versions in the request are of
   std::string body;
 };
 
@@ -74,6 +80,14 @@
   return n > 0 ? std::string(buf.data(), static_cast<std::size_t>(n)) : std::string();
 }
 
+/** The object with its versions as numbers of their history. */
+PlatformObject AsNumbered(PlatformObject aObject)
+{
+  aObject.version = PlatformNumberOf(aObject.version);
+  aObject.specVersion = PlatformNumberOf(aObject.specVersion);
+  return aObject;
+}
+
 Reply BadRequest(const std::string& aText)
 {
   return { 400, aText };
@@ -97,10 +111,28 @@
   }
 }
 
-template<typename T>
-Reply ReplyOf(const Result<T>& aResult)
+/** Versions leave as the numbers of their history, whose epoch stands in a header. */
+Reply ReplyOf(const Result<PlatformObject>& aResult)
+{
+  if (!aResult) {
+    return ReplyOf(aResult.Error());
+  }
+  const std::uint64_t epoch = PlatformEpochOf(aResult.Value().version);
+  return { 200, DumpJson(ToJson(AsNumbered(aResult.Value()))), false, epoch };
+}
+
+Reply ReplyOf(const Result<PlatformChanges>& aResult)
 {
-  return aResult ? Reply{ 200, DumpJson(ToJson(aResult.Value())) } : ReplyOf(aResult.Error());
+  if (!aResult) {
+    return ReplyOf(aResult.Error());
+  }
+  PlatformChanges changes = aResult.Value();
+  const std::uint64_t epoch = PlatformEpochOf(changes.revision);
+  changes.revision = PlatformNumberOf(changes.revision);
+  for (PlatformObject& it : changes.objects) {
+    it = AsNumbered(std::move(it));
+  }
+  return { 200, DumpJson(ToJson(changes)), false, epoch, PlatformNumberOf(changes.epochBegin) };
 }
 
 Reply HandleWrite(MemoryPlatform& aPlatform, const Request& aRequest)
@@ -112,7 +144,7 @@
   PlatformWrite write;
   write.kind = aRequest.segments[1];
   write.name = aRequest.segments[2];
-  write.expectedVersion = *expected;
+  write.expectedVersion = MakePlatformVersion(aRequest.epoch, *expected);
   if (aRequest.method == "DELETE") {
     write.part = PlatformWrite::Part::kDelete;
   } else if (aRequest.segments.size() == 4) {
@@ -152,7 +184,8 @@
     return BadRequest("from must be a revision and wait_ms at most " + std::to_string(maxWait));
   }
   const Milliseconds span(static_cast<std::int64_t>(*wait));
-  return ReplyOf(aPlatform.Watch(KindsOf(aRequest), *from, span));
+  const std::uint64_t revision = (aRequest.epoch << kPlatformNumberBits) + *from;
+  return ReplyOf(aPlatform.Watch(KindsOf(aRequest), revision, span));
 }
 
 Reply HandleFaults(MemoryPlatform& aPlatform, const Request& aRequest)
@@ -167,6 +200,21 @@
   return { 200, DumpJson(ToJson(aPlatform.Faults())) };
 }
 
+/** What befalls the platform's history, for tests. */
+Reply HandleHistory(MemoryPlatform& aPlatform, const std::string& aWhat)
+{
+  if (aWhat == "compact") {
+    aPlatform.Compact();
+  } else if (aWhat == "copy") {
+    aPlatform.TakeCopy();
+  } else if (aWhat == "restore") {
+    aPlatform.RestoreCopy();
+  } else {
+    return { 404, "no such path" };
+  }
+  return { 200, "{}", false, aPlatform.Epoch() };
+}
+
 Reply Dispatch(MemoryPlatform& aPlatform, const Request& aRequest)
 {
   const std::string area = aRequest.segments.empty() ? "" : aRequest.segments.front();
@@ -186,9 +234,8 @@
   if (area == "counts" && alone) {
     return { 200, DumpJson(ToJson(aPlatform.Counts())) };
   }
-  if (area == "compact" && alone && aRequest.method == "POST") {
-    aPlatform.Compact();
-    return { 200, "{}" };
+  if (alone && aRequest.method == "POST") {
+    return HandleHistory(aPlatform, area);
   }
   return { 404, "no such path" };
 }
@@ -221,11 +268,15 @@
   const char* type = aReply.status == 200 ? "application/json" : "text/plain";
   mg_printf(aConnection,
             "HTTP/1.1 %d %s\r\nContent-Type: %s\r\nContent-Length: %zu\r\n"
-            "Connection: close\r\n\r\n",
+            "%s: %llu\r\n%s: %llu\r\nConnection: close\r\n\r\n",
             aReply.status,
             mg_get_response_code_text(aConnection, aReply.status),
             type,
-            aReply.body.size());
+            aReply.body.size(),
+            kPlatformEpochHeader,
+            static_cast<unsigned long long>(aReply.epoch),
+            kPlatformEpochBeginHeader,
+            static_cast<unsigned long long>(aReply.epochBegin));
   mg_write(aConnection, aReply.body.data(), aReply.body.size());
 }
 
@@ -298,6 +349,7 @@
   const auto* server = static_cast<PlatformServer*>(aServer);
   const mg_request_info* info = mg_get_request_info(aConnection);
   std::optional<std::string> body = ReadBody(aConnection, info->content_length);
+  const auto platform = server->Platform();
   Reply reply{ 413, "the body is too large or ended early" };
   if (body) {
     Request request;
@@ -306,7 +358,13 @@
     request.query = OrEmpty(info->query_string);
     request.ifMatch = OrEmpty(mg_get_header(aConnection, "If-Match"));
     request.body = std::move(*body);
-    reply = Dispatch(*server->Platform(), request);
+    const auto epoch = ParseNumber(OrEmpty(mg_get_header(aConnection, kPlatformEpochHeader)));
+    request.epoch = std::min(epoch.value_or(platform->Epoch()), kMaxPlatformEpoch);
+    reply = Dispatch(*platform, request);
+  }
+  if (reply.status != kOkStatus) {
+    reply.epoch = platform->Epoch();
+    reply.epochBegin = PlatformNumberOf(platform->EpochBegin());
   }
   SendReply(aConnection, reply);
   constexpr int kHandled = 200;
--- a/tests/membership/FleetSim.h
+++ b/tests/membership/FleetSim.h
@@ -2,6 +2,7 @@
 
 #include "membership/FleetCore.h"
 #include "membership/PlatformWatcher.h"
+#include "platform/PlatformVersion.h"
 
 #include <cstdint>
 #include <functional>
@@ -23,6 +24,33 @@
   std::map<std::string, PlatformObject> objects; //!< tombstones included
   bool unreachable = false;
   std::uint64_t calls = 0;
+  std::uint64_t epochBegin = 0;
+  std::uint64_t oldest = 0; //!< watches from before it must list anew
+  std::map<std::string, PlatformObject> copy;
+  std::uint64_t copyRevision = 0;
+
+  void TakeCopy()
+  {
+    copy = objects;
+    copyRevision = revision;
+  }
+
+  /** Comes back from the copy, with the same numbers in the next epoch. */
+  void RestoreCopy()
+  {
+    const std::uint64_t epoch = PlatformEpochOf(revision) + 1;
+    const auto inEpoch = [epoch](std::uint64_t aVersion) {
+      return MakePlatformVersion(epoch, PlatformNumberOf(aVersion));
+    };
+    objects = copy;
+    for (auto& [key, object] : objects) {
+      object.version = inEpoch(object.version);
+      object.specVersion = inEpoch(object.specVersion);
+    }
+    revision = inEpoch(copyRevision);
+    epochBegin = revision;
+    oldest = revision;
+  }
 
   void Put(const std::string& aKind, const std::string& aName, nlohmann::json aSpec)
   {
@@ -53,7 +81,7 @@
 
   PlatformChanges Since(std::uint64_t aRevision) const
   {
-    PlatformChanges changes{ revision, {} };
+    PlatformChanges changes{ revision, {}, epochBegin };
     for (const auto& [key, object] : objects) {
       if (object.version > aRevision) {
         changes.objects.push_back(object);
@@ -310,8 +338,11 @@
       return old == stalePlatforms.end() ? platform.Since(aRevision) : old->second.Since(aRevision);
     };
     return { [read](const PlatformReader::Kinds&) { return read(0); },
-             [read](const PlatformReader::Kinds&, std::uint64_t aRevision, Milliseconds) {
-               return read(aRevision);
+             [this, read](const PlatformReader::Kinds&, std::uint64_t aRevision, Milliseconds) {
+               const bool reached = !platform.unreachable;
+               const bool known = aRevision >= platform.oldest && aRevision <= platform.revision;
+               return reached && !known ? Result<PlatformChanges>(ResultCode::kPlatformCompacted)
+                                        : read(aRevision);
              } };
   }
 
--- a/tests/membership/PlatformWatcherTest.cpp
+++ b/tests/membership/PlatformWatcherTest.cpp
@@ -1,4 +1,5 @@
 #include "membership/PlatformWatcher.h"
+#include "platform/PlatformVersion.h"
 
 #include <doctest/doctest.h>
 
@@ -117,3 +118,30 @@
   watcher.Step(true);
   CHECK(calls == Calls{ "list", "list" });
 }
+
+TEST_CASE_FIXTURE(WatcherFixture,
+                  "PlatformWatcher, platform in a later history, lists now and again")
+{
+  const std::uint64_t restored = MakePlatformVersion(1, 3);
+  answers = { At(7), ResultCode::kPlatformCompacted, At(restored), At(restored) };
+  for (int i = 0; i < 4; ++i) {
+    watcher.Step(true);
+  }
+  CHECK(seen == std::vector<std::uint64_t>{ 7, restored, restored });
+  clock.Advance(PlatformWatcher::kRelistDelay);
+  answers = { At(restored), At(restored) };
+  watcher.Step(true);
+  watcher.Step(true);
+  const std::string watch = "watch " + std::to_string(restored);
+  CHECK(calls == Calls{ "list", "watch 7", "list", watch, "list", watch });
+}
+
+TEST_CASE_FIXTURE(WatcherFixture, "PlatformWatcher, watch answered by a later history, lists")
+{
+  answers = { At(7), At(MakePlatformVersion(1, 9)), At(MakePlatformVersion(1, 9)) };
+  for (int i = 0; i < 3; ++i) {
+    watcher.Step(true);
+  }
+  CHECK(calls == Calls{ "list", "watch 7", "list" });
+  CHECK(seen == std::vector<std::uint64_t>{ 7, MakePlatformVersion(1, 9) });
+}
--- a/tests/platform/PlatformContractTest.cpp
+++ b/tests/platform/PlatformContractTest.cpp
@@ -1,5 +1,6 @@
 #include "platform/PlatformBackends.h"
 #include "platform/PlatformLimits.h"
+#include "platform/PlatformVersion.h"
 
 #include <atomic>
 #include <thread>
@@ -386,3 +387,59 @@
     });
   }
 }
+
+// Guards against versions that go back, and writes that hit another object's version, when the
+// platform comes back from a copy and gives its numbers out again.
+TEST_CASE("Platform, back from a copy, versions go on and those of before are conflicts")
+{
+  ForEachBackend([](PlatformBackend& aBackend) {
+    const auto write = [&](std::uint64_t aExpected, int aValue) {
+      return aBackend.api.Write(MakeWrite(aExpected, aValue, "op" + std::to_string(aValue)));
+    };
+    const std::uint64_t copied = write(0, 1).Value().version;
+    aBackend.memory->TakeCopy();
+    const std::uint64_t lost = write(copied, 2).Value().version;
+    aBackend.memory->RestoreCopy();
+
+    CHECK(CodeOf(aBackend.api.Watch({ "test" }, lost, Milliseconds(10))) ==
+          make_error_code(ResultCode::kPlatformCompacted));
+    CHECK(CodeOf(write(lost, 3)) == make_error_code(ResultCode::kPlatformConflict));
+    CHECK(CodeOf(write(copied, 3)) == make_error_code(ResultCode::kPlatformConflict));
+
+    const PlatformObject now = aBackend.api.Get("test", "object").Value();
+    CHECK(now.spec == nlohmann::json{ { "value", 1 } });
+    CHECK(now.version > lost);
+    CHECK(PlatformNumberOf(now.version) == PlatformNumberOf(copied));
+    const PlatformChanges list = aBackend.api.List({ "test" }).Value();
+    CHECK(list.revision > lost);
+    CHECK(list.epochBegin == list.revision);
+
+    const auto fresh = write(now.version, 4);
+    REQUIRE(fresh);
+    CHECK(PlatformNumberOf(fresh.Value().version) == PlatformNumberOf(lost));
+    const auto changes = aBackend.api.Watch({ "test" }, list.revision, Milliseconds(1'000));
+    REQUIRE(changes);
+    REQUIRE(changes.Value().objects.size() == 1);
+    CHECK(changes.Value().objects.front() == fresh.Value());
+    CHECK(changes.Value().epochBegin == list.revision);
+  });
+}
+
+TEST_CASE("Platform, back from a copy, a waiting watch must list anew")
+{
+  ForEachBackend([](PlatformBackend& aBackend) {
+    aBackend.memory->TakeCopy();
+    const std::uint64_t revision = aBackend.api.Write(MakeWrite(0, 1, "op1")).Value().version;
+    std::error_code code;
+    std::thread watch(
+      [&] { code = CodeOf(aBackend.api.Watch({ "test" }, revision, Milliseconds(3'000))); });
+    while (aBackend.memory->Counts().watches == 0) {
+      std::this_thread::sleep_for(Milliseconds(5));
+    }
+    aBackend.memory->RestoreCopy();
+    watch.join();
+    CHECK(code == make_error_code(ResultCode::kPlatformCompacted));
+    CHECK(aBackend.api.List({ "test" }).Value().objects.empty());
+    CHECK(aBackend.api.Write(MakeWrite(0, 2, "op2")).Value().version > revision);
+  });
+}
