An answer without a length whose end comes before a reset, while the upload is sent, is not complete

HttpChannel took the orderly end for the end of the body at once; now it judges the end when the request is out or has failed. mwnode: libcurl drops the rest of the request at the end of the response, so the reset is never seen; such an answer counts as cut unless the request was read whole. Both cases ('ended and reset during an upload') failed before, on each data path, and pass now; an upstream that reads on still counts as whole with HttpChannel. What libcurl has read and not sent yet, 64 KB at most, is not told apart.

--- a/src/gate/ResponseHeadReader.cpp
+++ b/src/gate/ResponseHeadReader.cpp
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr int kFirstFinalStatus = 200;
+constexpr int kNoContent = 204;
+constexpr int kNotModified = 304;
 constexpr std::string_view kIdHeader = "X-Request-Id";
 
 std::string_view Trim(std::string_view aText)
@@ -53,6 +55,11 @@
   return false;
 }
 
+bool ResponseHeadReader::MayHaveBody() const
+{
+  return mHead.status != kNoContent && mHead.status != kNotModified;
+}
+
 void ResponseHeadReader::Begin(std::string_view aStatusLine)
 {
   *this = ResponseHeadReader(std::move(mRequestId));
--- a/src/gate/ResponseHeadReader.h
+++ b/src/gate/ResponseHeadReader.h
@@ -42,9 +42,13 @@
 
   /** Whether the response says in two ways, or in an odd one, where its body ends. */
   bool IsLengthInDoubt() const { return mLengthInDoubt; }
+
+  /** Whether nothing but the end of the connection tells the end of the body. */
+  bool EndsWithConnection() const { return !mEncoded && !mLength && MayHaveBody(); }
   ResponseOwner Owner() const { return mOwner; }
 
 private:
+  bool MayHaveBody() const;
   void Begin(std::string_view aStatusLine);
   void AddField(std::string_view aName, std::string_view aValue);
   void AddLength(std::string_view aValue);
--- a/src/gate/UpstreamCall.cpp
+++ b/src/gate/UpstreamCall.cpp
@@ -252,6 +252,13 @@
   return mShed && IsOnKeptConnection();
 }
 
+/** libcurl ends a request at the end of the response. If that is the end of the connection, the
+ * reset of an upstream that broke off is no longer seen. */
+bool UpstreamCall::MayBeCut() const
+{
+  return mHead.hasBody && !mBodyRead && mResponse.EndsWithConnection();
+}
+
 std::size_t UpstreamCall::OnBody(const char* aData, std::size_t aSize)
 {
   if (mShed) {
@@ -276,6 +283,7 @@
       return CURL_READFUNC_PAUSE;
     }
     if (std::holds_alternative<StreamEnd>(event)) {
+      mBodyRead = true;
       return 0;
     }
     if (std::holds_alternative<StreamReset>(event)) {
@@ -287,6 +295,8 @@
   const std::size_t n = std::min(aSize, mUnsent.size());
   std::memcpy(aBuffer, mUnsent.data(), n);
   mUnsent.erase(0, n);
+  mBodyBytes += static_cast<std::int64_t>(n);
+  mBodyRead = mBodyRead || mBodyBytes == mHead.bodyLength;
   return n;
 }
 
@@ -296,7 +306,7 @@
     return ResultCode::kGateShed;
   }
   if (aTransfer.code == CURLE_OK && mResponse.IsWhole()) {
-    return ResultCode::kOk;
+    return MayBeCut() ? ResultCode::kAnswerCut : ResultCode::kOk;
   }
   if (mStream->ResetCode()) {
     return ResultCode::kCallerGone;
--- a/src/gate/UpstreamCall.h
+++ b/src/gate/UpstreamCall.h
@@ -58,6 +58,7 @@
   ResultCode ResultCodeOf(const Transfer& aTransfer) const;
   bool IsOnKeptConnection() const;
   bool MayBelongToAnother() const;
+  bool MayBeCut() const;
 
   std::size_t OnHeaderLine(std::string_view aLine);
   std::size_t OnBody(const char* aData, std::size_t aSize);
@@ -76,8 +77,10 @@
   bool mShed = false;
   bool mForeign = false; //!< the response is, or may be, that of another request
   std::optional<TimePoint> mFirstByte;
-  std::string mUnsent;        //!< rest of a chunk that did not fit into the buffer of libcurl
-  bool mBodyConsumed = false; //!< part of the request body has been read: no second transfer
+  std::string mUnsent;         //!< rest of a chunk that did not fit into the buffer of libcurl
+  std::int64_t mBodyBytes = 0; //!< of the request body, read so far
+  bool mBodyRead = false;      //!< the whole request body has been
+  bool mBodyConsumed = false;  //!< part of the request body has been read: no second transfer
   bool mReadPaused = false;
   bool mWritePaused = false;
 };
--- a/src/http/HttpChannel.cpp
+++ b/src/http/HttpChannel.cpp
@@ -120,6 +120,7 @@
   mAccept = std::move(aAccept);
   mDone = std::move(aDone);
   mBegun = false;
+  mEndSeen = false;
   mInput.clear();
   mWriteError.clear();
   NewParser();
@@ -132,6 +133,10 @@
                              const auto self = hold.Take();
                              self->mWriting = false;
                              self->mWriteError = aError;
+                             if (std::exchange(self->mEndSeen, false)) {
+                               self->OnEnd();
+                               return;
+                             }
                              // An answer that came before the end of the request is still read
                              // after a failed write.
                              if (aError && !self->mReading) {
@@ -177,20 +182,12 @@
     Close();
     return;
   }
-  if (aError == boost::asio::error::eof && mWriteError) {
-    Finish(mWriteError, false);
-    return;
-  }
-  if (aError == boost::asio::error::eof && mParser && mParser->is_header_done()) {
-    boost::system::error_code ec;
-    mParser->put_eof(ec);
-    if (!ec && mParser->is_done()) {
-      OnAnswer();
-      if (mDone) { // the answer to another request, and no other can follow
-        Finish(aError, false);
-      }
-      return;
+  if (aError == boost::asio::error::eof) {
+    mEndSeen = mWriting && mParser && mParser->is_header_done();
+    if (!mEndSeen) {
+      OnEnd();
     }
+    return;
   }
   if (aError) {
     Finish(aError, false);
@@ -211,6 +208,32 @@
   }
 }
 
+/**
+ * The peer sends no more. While the request is still being sent this is not judged: a reset that
+ * comes before the request is out shows that the peer broke off.
+ */
+void HttpChannel::OnEnd()
+{
+  if (!mDone) {
+    Close();
+    return;
+  }
+  if (mWriteError) {
+    Finish(mWriteError, false);
+    return;
+  }
+  if (mParser && mParser->is_header_done()) {
+    boost::system::error_code ec;
+    mParser->put_eof(ec);
+    if (!ec && mParser->is_done()) {
+      OnAnswer();
+    }
+  }
+  if (mDone) { // cut, or the answer to another request, and no other can follow
+    Finish(boost::asio::error::eof, false);
+  }
+}
+
 void HttpChannel::Parse()
 {
   while (mDone && !mInput.empty()) {
--- a/src/http/HttpChannel.h
+++ b/src/http/HttpChannel.h
@@ -55,6 +55,7 @@
   void Read();
   void OnRead(const boost::system::error_code& aError, std::size_t aCount);
   void Parse();
+  void OnEnd();
   void OnAnswer();
   void NewParser();
   bool TakeBytes(std::size_t aCount);
@@ -78,6 +79,7 @@
   bool mReading = false;
   bool mWriting = false;
   bool mBegun = false;
+  bool mEndSeen = false; //!< the peer has ended its direction, the request is still being sent
   /** Why the request was not sent whole. The kernel reports a reset once: after it was reported to
    * the write, reads see an orderly end. */
   boost::system::error_code mWriteError;
--- a/tests/http/EarlyAnswerTest.cpp
+++ b/tests/http/EarlyAnswerTest.cpp
@@ -26,7 +26,8 @@
 enum class End
 {
   kReset,
-  kReadsOn, //!< ends its own direction and reads the rest of the request
+  kReadsOn,   //!< ends its own direction and reads the rest of the request
+  kEndsFirst, //!< ends its own direction, and resets the connection while the request is sent
 };
 
 /** A server that answers an upload before it has read it. */
@@ -84,7 +85,12 @@
       return;
     }
     socket.shutdown(tcp::socket::shutdown_send);
-    ReadOn();
+    if (aEnd == End::kReadsOn) {
+      ReadOn();
+      return;
+    }
+    RunUntil([] { return false; }, Milliseconds(100)); // the end is seen before the reset
+    EndConnection(End::kReset);
   }
 
   void ReadOn()
@@ -128,6 +134,18 @@
   CHECK_FALSE(result->reusable);
 }
 
+// Guards against passing on a part of an answer as whole: the upstream ends its direction, and then
+// resets the connection while the upload is still being sent.
+TEST_CASE_FIXTURE(
+  EarlyServer,
+  "HttpChannel, answer without a length ended and reset during an upload, is not complete")
+{
+  const auto result = Upload("HTTP/1.1 200 OK\r\n\r\n" + kHalf, End::kEndsFirst);
+  REQUIRE(result);
+  CHECK(result->error);
+  CHECK_FALSE(result->reusable);
+}
+
 TEST_CASE_FIXTURE(
   EarlyServer,
   "HttpChannel, answer with a length cut by a reset during an upload, is not complete")
--- a/tests/ingress/DataPathTest.cpp
+++ b/tests/ingress/DataPathTest.cpp
@@ -199,6 +199,19 @@
   CHECK((answer.curl != CURLE_OK || answer.status != 200));
 }
 
+// Guards against passing on a part of an answer as whole: the upstream ends its direction, and then
+// resets the connection while the upload is still being sent.
+TEST_CASE_FIXTURE(
+  OneNode,
+  "Data path, answer without a length ended and reset during an upload, is not complete")
+{
+  const std::string half(2'500, 'w');
+  test::RawUpstream upstream(kUpstreamOne, "HTTP/1.1 200 OK\r\n\r\n" + half, true);
+  Announce(kUpstreamOne);
+  const CallerAnswer answer = Call("POST", "/open", {}, std::string(16U << 20, 'x'));
+  CHECK((answer.curl != CURLE_OK || answer.status != 200));
+}
+
 TEST_CASE_FIXTURE(OneNode, "Data path, answer without a length reset, is not complete")
 {
   const std::string half(2'500, 'w');
--- a/tests/ingress/RawUpstream.h
+++ b/tests/ingress/RawUpstream.h
@@ -17,12 +17,14 @@
 namespace mustardwinch::test {
 
 /** An upstream that sends given bytes as soon as a request begins, and then resets the connection
- * without having read the rest of the request. Serves one connection on its own thread. */
+ * without having read the rest of the request. Serves one connection on its own thread.
+ * With aEndsFirst it ends its own direction some time before the reset. */
 class RawUpstream
 {
 public:
-  RawUpstream(const Address& aAddress, std::string aAnswer)
-    : mAcceptor(mLoop, { boost::asio::ip::address_v4(aAddress.ip), aAddress.port })
+  RawUpstream(const Address& aAddress, std::string aAnswer, bool aEndsFirst = false)
+    : mEndsFirst(aEndsFirst)
+    , mAcceptor(mLoop, { boost::asio::ip::address_v4(aAddress.ip), aAddress.port })
     , mThread([this, answer = std::move(aAnswer)] { Serve(answer); })
   {
   }
@@ -41,10 +43,15 @@
     socket.read_some(boost::asio::buffer(buf), ec);
     boost::asio::write(socket, boost::asio::buffer(aAnswer), ec);
     std::this_thread::sleep_for(Milliseconds(100)); // the answer is read before the reset
+    if (mEndsFirst) {
+      socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ec);
+      std::this_thread::sleep_for(Milliseconds(200));
+    }
     socket.set_option(boost::asio::socket_base::linger(true, 0), ec);
     socket.close(ec);
   }
 
+  const bool mEndsFirst;
   boost::asio::io_context mLoop;
   boost::asio::ip::tcp::acceptor mAcceptor;
   std::thread mThread;
