A status that HTTP does not have is a failure of the upstream, not an answer

Now all of them end the call with an error and the connection; callers get 502. Both cases failed before on 600 and 999, and pass now for 000, 001, 099, 600, 999 with and without a length.

--- a/src/gate/ResponseHeadReader.cpp
+++ b/src/gate/ResponseHeadReader.cpp
@@ -10,6 +10,7 @@
 constexpr int kFirstFinalStatus = 200;
 constexpr int kNoContent = 204;
 constexpr int kNotModified = 304;
+constexpr int kLastStatus = 599;
 constexpr std::string_view kIdHeader = "X-Request-Id";
 
 std::string_view Trim(std::string_view aText)
@@ -55,6 +56,11 @@
   return false;
 }
 
+bool ResponseHeadReader::IsMalformed() const
+{
+  return mLengthInDoubt || mHead.status > kLastStatus;
+}
+
 bool ResponseHeadReader::MayHaveBody() const
 {
   return mHead.status != kNoContent && mHead.status != kNotModified;
--- a/src/gate/ResponseHeadReader.h
+++ b/src/gate/ResponseHeadReader.h
@@ -40,8 +40,9 @@
   const GateResponseHead& Head() const { return mHead; }
   bool IsWhole() const { return mWhole; }
 
-  /** Whether the response says in two ways, or in an odd one, where its body ends. */
-  bool IsLengthInDoubt() const { return mLengthInDoubt; }
+  /** Whether it is no response of HTTP: its status is none, or it says in two ways, or in an odd
+   * one, where its body ends. */
+  bool IsMalformed() const;
 
   /** Whether nothing but the end of the connection tells the end of the body. */
   bool EndsWithConnection() const { return !mEncoded && !mLength && MayHaveBody(); }
--- a/src/gate/UpstreamCall.cpp
+++ b/src/gate/UpstreamCall.cpp
@@ -215,7 +215,7 @@
   if (!mResponse.Add(aLine) || earlier) {
     return aLine.size();
   }
-  if (mResponse.IsLengthInDoubt()) {
+  if (mResponse.IsMalformed()) {
     return 0; // ends the transfer
   }
   const GateResponseHead& head = mResponse.Head();
--- a/src/http/HttpChannel.cpp
+++ b/src/http/HttpChannel.cpp
@@ -258,9 +258,14 @@
 void HttpChannel::OnAnswer()
 {
   constexpr unsigned kFirstFinalStatus = 200;
+  constexpr unsigned kLastStatus = 599; // the parser refuses those below 100
   const bool keepAlive = mParser->get().keep_alive() && !mParser->get().need_eof();
   std::optional<Milliseconds> idleLimit;
   HttpAnswer answer = TakeAnswer(idleLimit);
+  if (answer.status > kLastStatus) {
+    Finish(http::error::bad_status, false);
+    return;
+  }
   if (answer.status < kFirstFinalStatus || (mAccept && !mAccept(answer))) {
     NewParser();
     return;
--- a/tests/http/CutAnswerTest.cpp
+++ b/tests/http/CutAnswerTest.cpp
@@ -212,3 +212,24 @@
     CHECK(result->error);
   }
 }
+
+// Guards against bytes that are no status of HTTP and are passed on, or waited behind, as an
+// answer.
+TEST_CASE_FIXTURE(CutServer,
+                  "HttpChannel, status that HTTP does not have, ends with an error at once")
+{
+  for (const std::string status : { "000", "001", "099", "600", "999" }) {
+    for (const std::string fields : { "Content-Length: 5\r\n", "" }) {
+      CAPTURE(status);
+      CAPTURE(fields);
+      Connect();
+      const auto result =
+        Exchange("HTTP/1.1 " + status + " Odd\r\n" + fields + "\r\nwhole", false, false);
+      channel->Close();
+      loop.poll();
+      REQUIRE(result);
+      CHECK(result->error);
+      CHECK_FALSE(result->reusable);
+    }
+  }
+}
--- a/tests/ingress/CutHeadTest.cpp
+++ b/tests/ingress/CutHeadTest.cpp
@@ -146,3 +146,23 @@
     CHECK_FALSE(IsSuccess(Call("POST", "/open", {}, "confirm", 2'000)));
   }
 }
+
+// Guards against bytes that are no status of HTTP and reach a caller as an answer.
+TEST_CASE_FIXTURE(OneNode,
+                  "Data path, status that HTTP does not have, is told as a failure at once")
+{
+  CutUpstream upstream(kUpstreamOne);
+  Announce(kUpstreamOne);
+  for (const std::string status : { "000", "001", "099", "600", "999" }) {
+    for (const std::string fields : { "Content-Length: 5\r\n", "" }) {
+      Announce(kUpstreamOne);
+      CAPTURE(status);
+      CAPTURE(fields);
+      upstream.Set("HTTP/1.1 " + status + " Odd\r\n" + fields + "\r\nwhole", false);
+      const CallerAnswer answer = Call("POST", "/open", {}, "confirm", 2'000);
+      CAPTURE(answer.head);
+      CHECK(answer.curl == CURLE_OK);
+      CHECK(answer.status == 502);
+    }
+  }
+}
