mwnode: a lease that the platform lost with its history is written again by its holder, not taken by another

Two nodes granted one slice's rate after the platform came back from a copy that lacked the lease: the second one saw no lease, or a released one, and took it at once, while the first one granted until its next renewal. Now a node that learns of a later epoch takes nothing over for a short term, and then reads again; a holder keeps its lease through a copy that lacks it and writes it at once; a successor doesn't believe the copy's bucket levels.

--- a/src/limits/LeaseState.cpp
+++ b/src/limits/LeaseState.cpp
@@ -75,7 +75,8 @@
   if (mEndingTail) {
     return Send(Purpose::kEndTail, EndedTailRecord(), {}, aNow);
   }
-  if (aNow < mTermStart + Duration(mTerms.shortTerm) / kRenewalsPerShortTerm) {
+  const bool early = aNow < mTermStart + Duration(mTerms.shortTerm) / kRenewalsPerShortTerm;
+  if (early && !mReclaiming) {
     return {};
   }
   return Send(Purpose::kHold, OwnRecord(aContext, aNow), {}, aNow);
@@ -83,6 +84,14 @@
 
 LeaseAction LeaseState::CandidateAction(const LeaseContext& aContext, TimePoint aNow)
 {
+  if (mLostTermsUntil) {
+    if (aNow < *mLostTermsUntil) {
+      return {};
+    }
+    mLostTermsUntil.reset(); // the holder may have written the lease again meanwhile
+    mCallInFlight = true;
+    return LeaseRead{};
+  }
   LeaseAction action = TakeOver(aContext, aNow);
   if (!std::holds_alternative<std::monostate>(action)) {
     return action;
@@ -97,11 +106,13 @@
 LeaseAction LeaseState::TakeOver(const LeaseContext& aContext, TimePoint aNow)
 {
   if (!mSeen) {
-    return Send(Purpose::kHold, OwnRecord(aContext, aNow), {}, aNow);
+    return Send(Purpose::kHold, OwnRecord(aContext, aNow), { {}, mHistoryLost }, aNow);
   }
   const LeaseRecord& old = mSeen->record;
   if (old.released) {
-    return Send(Purpose::kHold, OwnRecord(aContext, aNow), { old.levels, false }, aNow);
+    const bool outdated = mSeen->copied && mHistoryLost; // it may have been held since
+    const LeaseStart start = outdated ? LeaseStart{ {}, true } : LeaseStart{ old.levels, false };
+    return Send(Purpose::kHold, OwnRecord(aContext, aNow), start, aNow);
   }
   if (IsSelf(old.holder) || aContext.isTerminated(old.holder)) {
     return Send(Purpose::kHold, OwnRecord(aContext, aNow), { {}, true }, aNow);
@@ -232,9 +243,13 @@
   if (stored) {
     return ApplyStored(*stored, aNow);
   }
+  mPending.reset();
+  if (MayReclaim(aNow)) {
+    KeepLost(0);
+    return LeaseChange::kNone;
+  }
   // The object does not exist: an operator deleted it, or it was never written.
   const bool lost = mHolding;
-  mPending.reset();
   mSeen.reset();
   mTails.clear();
   mObjectKnown = true;
@@ -251,6 +266,10 @@
     return Confirm(aStored, aNow);
   }
   mPending.reset();
+  if (aStored.copied && MayReclaim(aNow)) {
+    KeepLost(aStored.version);
+    return LeaseChange::kNone;
+  }
   SetSeen(aStored, false, aNow);
   const bool own = IsSelf(aStored.record.holder);
   if (own && !aStored.record.released) {
@@ -267,6 +286,27 @@
   return lost ? LeaseChange::kLost : LeaseChange::kNone;
 }
 
+/** Whether this node's own lease is the one in force, whatever the platform has in its place. */
+bool LeaseState::MayReclaim(TimePoint aNow) const
+{
+  return mReclaiming && mHolding && aNow < FullEnd();
+}
+
+/** Keeps the lease as it was, to be written in place of what the platform has. */
+void LeaseState::KeepLost(std::uint64_t aStoredVersion)
+{
+  mObjectKnown = true;
+  mSeen->version = aStoredVersion;
+}
+
+void LeaseState::OnHistoryReplaced(TimePoint aSince)
+{
+  mLostTermsUntil = aSince + LengthenedForDrift(mTerms.shortTerm);
+  mHistoryLost = true;
+  mReclaiming = mHolding;
+  mObjectKnown = false;
+}
+
 LeaseChange LeaseState::Confirm(const StoredLease& aStored, TimePoint aNow)
 {
   const Pending pending = std::move(*mPending);
@@ -284,10 +324,13 @@
     return LeaseChange::kNone; // a renewal that was in flight when the release began
   }
   mTermStart = pending.sent;
+  mReclaiming = false;
+  mLostTermsUntil.reset();
   if (mHolding) {
     return LeaseChange::kRenewed;
   }
   mHolding = true;
+  mHistoryLost = false;
   mStart = pending.start;
   return LeaseChange::kAcquired;
 }
--- a/src/limits/LeaseState.h
+++ b/src/limits/LeaseState.h
@@ -23,7 +23,8 @@
  * holder may grant its full share during the short term and a part of it during the tail term. A
  * successor waits until it has seen an unchanged version for the whole short term on its own clock.
  * It leaves the tail part, as given by the old holder's terms, unused until the tail term is over
- * or the old holder is known to have terminated.
+ * or the old holder is known to have terminated. A tail that the platform has lost with its history
+ * is not known to a successor.
  */
 class LeaseState
 {
@@ -42,6 +43,13 @@
   /** Stops granting and starts to release the lease with these levels for the next holder. */
   void BeginRelease(std::vector<CarriedLevel> aLevels);
 
+  /**
+   * The platform came back from a copy, as this node learned at aSince, and may lack leases that
+   * are in force. Their holders write them again in their short term; the others take no lease over
+   * before every short term of the lost history is over.
+   */
+  void OnHistoryReplaced(TimePoint aSince);
+
   /** Makes a waiting node read the lease again now, after a member change or a release. */
   void RequestReread(TimePoint aNow);
 
@@ -106,6 +114,8 @@
   void ShortenTerminatedTails(const LeaseContext& aContext, TimePoint aNow);
   bool IsSelf(const LeaseHolder& aHolder) const { return aHolder == mSelf; }
   bool HasOwnTail() const;
+  bool MayReclaim(TimePoint aNow) const;
+  void KeepLost(std::uint64_t aStoredVersion);
 
   LeaseHolder mSelf;
   LeaseTerms mTerms;
@@ -124,6 +134,10 @@
   TimePoint mNextAt;        //!< earliest next call; set after failed calls
   LeaseStart mStart;
   std::vector<CarriedLevel> mReleaseLevels;
+  /** Until then another node may hold a lease that the platform has lost. */
+  std::optional<TimePoint> mLostTermsUntil;
+  bool mHistoryLost = false; //!< since the last acquisition the platform has lost its history
+  bool mReclaiming = false;  //!< holds a lease that the platform may have lost
   std::uint64_t mOperations = 0;
 };
 
--- a/src/limits/LeaseStore.h
+++ b/src/limits/LeaseStore.h
@@ -23,6 +23,9 @@
   /** Returns the fleet's layout: the one written first, which may be aProposed. */
   std::function<Result<RateLayout>(const RateLayout& aProposed)> agreeLayout;
 
+  /** Epoch of the platform's history, greater each time that it came back from a copy. */
+  std::function<std::uint64_t()> epoch;
+
   /** Whether an operator has declared the process lost. */
   std::function<bool(const LeaseHolder& aHolder)> isDeclaredLost;
 };
--- a/src/limits/PlatformLeaseStore.cpp
+++ b/src/limits/PlatformLeaseStore.cpp
@@ -17,7 +17,7 @@
   if (!record) {
     return { ResultCode::kPlatformBadAnswer, "lease " + aObject.name };
   }
-  return StoredLease{ std::move(*record), aObject.version, aObject.operation };
+  return StoredLease{ std::move(*record), aObject.version, aObject.operation, aObject.copied };
 }
 
 Result<RateLayout> LayoutFromObject(const PlatformObject& aObject)
@@ -109,8 +109,7 @@
 
 LeaseStore MakePlatformLeaseStore(std::shared_ptr<PlatformApi> aPlatform, std::string aWriter)
 {
-  const auto leases =
-    std::make_shared<const PlatformLeases>(std::move(aPlatform), std::move(aWriter));
+  const auto leases = std::make_shared<const PlatformLeases>(aPlatform, std::move(aWriter));
   LeaseStore store;
   store.read = [leases](const std::string& aName) { return leases->Read(aName); };
   store.write = [leases](const std::string& aName, const LeaseWrite& aWrite) {
@@ -119,6 +118,7 @@
   store.agreeLayout = [leases](const RateLayout& aProposed) {
     return leases->AgreeLayout(aProposed);
   };
+  store.epoch = [platform = std::move(aPlatform)] { return platform->Epoch(); };
   store.isDeclaredLost = [leases](const LeaseHolder& aHolder) {
     return leases->IsDeclaredLost(aHolder);
   };
--- a/src/limits/RateAgent.cpp
+++ b/src/limits/RateAgent.cpp
@@ -248,6 +248,9 @@
       }
       auto owner =
         std::make_unique<SliceOwner>(shard, slice, mOptions.layout.slices, mSelf, mOptions.terms);
+      if (mHistorySince && mClock.Now() < *mHistorySince + mOptions.terms.shortTerm) {
+        owner->OnHistoryReplaced(*mHistorySince);
+      }
       mOwners.emplace(id, std::move(owner));
       mAppliedConfig.reset(); // makes RefreshConfig() pass the organisations to the new owner
     }
@@ -311,12 +314,27 @@
   return context;
 }
 
+/** Tells all owners of a history that replaces one in which leases may have been in force. */
+void RateAgent::NoteHistory()
+{
+  const std::uint64_t epoch = mStore.epoch ? mStore.epoch() : 0;
+  const std::uint64_t known = std::exchange(mEpoch, epoch).value_or(epoch);
+  if (epoch <= known) {
+    return;
+  }
+  mHistorySince = mClock.Now();
+  for (const auto& [id, owner] : mOwners) {
+    owner->OnHistoryReplaced(*mHistorySince);
+  }
+}
+
 void RateAgent::StepOwner(const SliceId& aId)
 {
   for (int i = 0; i < kActionsPerStep; ++i) {
     LeaseAction action;
     {
       const std::lock_guard lock(mMutex);
+      NoteHistory();
       SliceOwner* owner = FindOwner(aId);
       action = owner->Next(ContextFor(aId), mClock.Now());
       Report(*owner, LeaseChange::kNone);
--- a/src/limits/RateAgent.h
+++ b/src/limits/RateAgent.h
@@ -97,6 +97,7 @@
   void RefreshMembers();
   void RefreshConfig();
   void RefreshOwners();
+  void NoteHistory();
   void StepOwner(const SliceId& aId);
   void Perform(const SliceId& aId, const LeaseAction& aAction);
   void Report(const SliceOwner& aOwner, LeaseChange aChange);
@@ -159,6 +160,8 @@
   std::map<SliceId, Address> mHints; //!< holders that are not the preferred owners
   std::map<SliceId, SliceStatus::Term> mReportedTerms;
   std::uint64_t mPlatformCalls = 0;
+  std::optional<std::uint64_t> mEpoch;    //!< of the platform's history, as last told
+  std::optional<TimePoint> mHistorySince; //!< when a later epoch than before was told
 
   RateLimiter mLimiter;
   std::vector<std::thread> mThreads;
--- a/src/limits/SliceOwner.h
+++ b/src/limits/SliceOwner.h
@@ -38,6 +38,7 @@
   LeaseChange OnRead(const Result<std::optional<StoredLease>>& aAnswer, TimePoint aNow);
   LeaseChange OnWritten(const Result<StoredLease>& aAnswer, TimePoint aNow);
   void BeginRelease(TimePoint aNow);
+  void OnHistoryReplaced(TimePoint aSince) { mLease.OnHistoryReplaced(aSince); }
   void RequestReread(TimePoint aNow) { mLease.RequestReread(aNow); }
 
   GrantReply Handle(const GrantRequest& aRequest, TimePoint aNow);
--- a/src/platform/HttpPlatform.cpp
+++ b/src/platform/HttpPlatform.cpp
@@ -85,6 +85,7 @@
 /** Puts the epoch of the answer into the versions that it holds. */
 void SetEpoch(PlatformObject& aObject, const HttpAnswer& aAnswer)
 {
+  aObject.copied = aObject.version <= aAnswer.epochBegin;
   aObject.version = MakePlatformVersion(aAnswer.epoch, aObject.version);
   aObject.specVersion = MakePlatformVersion(aAnswer.epoch, aObject.specVersion);
 }
@@ -305,6 +306,13 @@
   return answer;
 }
 
+void HttpPlatform::NoteEpoch(std::uint64_t aEpoch)
+{
+  std::uint64_t known = mEpoch.load();
+  while (known < aEpoch && !mEpoch.compare_exchange_weak(known, aEpoch)) {
+  }
+}
+
 Result<HttpAnswer> HttpPlatform::CallAddress(const Address& aAddress,
                                              const HttpCall& aCall,
                                              bool& aSent)
@@ -356,6 +364,7 @@
   curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE, &answer.status);
   answer.body = std::move(sink.body);
   answer.epoch = head.epoch;
+  NoteEpoch(head.epoch);
   answer.epochBegin = head.epochBegin;
   return answer;
 }
--- a/src/platform/HttpPlatform.h
+++ b/src/platform/HttpPlatform.h
@@ -39,18 +39,24 @@
                                 std::uint64_t aRevision,
                                 Milliseconds aWait);
 
+  /** Greatest epoch that an answer has told. */
+  std::uint64_t Epoch() const { return mEpoch.load(); }
+
 private:
   HttpPlatform(std::vector<Address> aAddresses, HttpPlatformOptions aOptions);
 
   /** Calls the address that answered last, and the others while none was reached. */
   Result<HttpAnswer> Call(const HttpCall& aCall);
 
+  void NoteEpoch(std::uint64_t aEpoch);
+
   /** @param aSent whether the request may have reached the address */
   Result<HttpAnswer> CallAddress(const Address& aAddress, const HttpCall& aCall, bool& aSent);
 
   const std::vector<Address> mAddresses;
   const HttpPlatformOptions mOptions;
   std::atomic<std::size_t> mCurrent{ 0 }; //!< index of the address to call
+  std::atomic<std::uint64_t> mEpoch{ 0 };
   CurlPool mPool;
 };
 
--- a/src/platform/MemoryPlatform.cpp
+++ b/src/platform/MemoryPlatform.cpp
@@ -133,6 +133,7 @@
   object.kind = aWrite.kind;
   object.name = aWrite.name;
   object.version = mRevision + 1;
+  object.copied = false;
   if (aWrite.part == PlatformWrite::Part::kStatus) {
     object.status = aWrite.body;
     object.statusOperation = aWrite.operation;
@@ -293,6 +294,7 @@
     entry.before.reset();
     entry.now.version = inThisHistory(entry.now.version);
     entry.now.specVersion = inThisHistory(entry.now.specVersion);
+    entry.now.copied = true;
     mByVersion[entry.now.version] = key;
   }
   // An empty copy has no number, but its history has an epoch.
--- a/src/platform/PlatformApi.cpp
+++ b/src/platform/PlatformApi.cpp
@@ -127,6 +127,11 @@
     [&](const auto& aPlatform) { return aPlatform->Watch(aKinds, aRevision, aWait); }, mBackend);
 }
 
+std::uint64_t PlatformApi::Epoch() const
+{
+  return std::visit([](const auto& aPlatform) { return aPlatform->Epoch(); }, mBackend);
+}
+
 Result<PlatformObject> PlatformApi::WriteConfirmed(const PlatformWrite& aWrite)
 {
   Result<PlatformObject> result(ResultCode::kPlatformUnavailable);
--- a/src/platform/PlatformApi.h
+++ b/src/platform/PlatformApi.h
@@ -57,6 +57,9 @@
                                 std::uint64_t aRevision,
                                 Milliseconds aWait);
 
+  /** Epoch of the platform's newest history that an answer has told. */
+  std::uint64_t Epoch() const;
+
 private:
   Backend mBackend;
 };
--- a/src/platform/PlatformObject.h
+++ b/src/platform/PlatformObject.h
@@ -20,6 +20,7 @@
   std::string operation;       //!< id of that write, so that a writer whose reply was lost knows it
   std::string statusOperation; //!< id of the last write of the status; empty if there was none
   bool deleted = false;        //!< only in watch events and lists of tombstones
+  bool copied = false;         //!< last written before this history of the platform began
 
   bool operator==(const PlatformObject&) const = default;
 };
--- a/src/platform/PlatformServer.cpp
+++ b/src/platform/PlatformServer.cpp
@@ -112,13 +112,15 @@
 }
 
 /** Versions leave as the numbers of their history, whose epoch stands in a header. */
-Reply ReplyOf(const Result<PlatformObject>& aResult)
+Reply ReplyOf(const Result<PlatformObject>& aResult, std::uint64_t aEpochBegin)
 {
   if (!aResult) {
     return ReplyOf(aResult.Error());
   }
   const std::uint64_t epoch = PlatformEpochOf(aResult.Value().version);
-  return { 200, DumpJson(ToJson(AsNumbered(aResult.Value()))), false, epoch };
+  const bool same = epoch == PlatformEpochOf(aEpochBegin);
+  const std::uint64_t begin = same ? PlatformNumberOf(aEpochBegin) : 0;
+  return { 200, DumpJson(ToJson(AsNumbered(aResult.Value()))), false, epoch, begin };
 }
 
 Reply ReplyOf(const Result<PlatformChanges>& aResult)
@@ -151,7 +153,8 @@
     write.part = PlatformWrite::Part::kStatus;
   }
   const Result<PlatformWrite> whole = WriteFromText(aRequest.body, std::move(write));
-  return whole ? ReplyOf(aPlatform.Write(whole.Value())) : ReplyOf(whole.Error());
+  return whole ? ReplyOf(aPlatform.Write(whole.Value()), aPlatform.EpochBegin())
+               : ReplyOf(whole.Error());
 }
 
 Reply HandleObject(MemoryPlatform& aPlatform, const Request& aRequest)
@@ -159,7 +162,8 @@
   const std::size_t depth = aRequest.segments.size();
   const bool isStatus = depth == 4 && aRequest.segments[3] == "status";
   if (aRequest.method == "GET" && depth == 3) {
-    return ReplyOf(aPlatform.Get(aRequest.segments[1], aRequest.segments[2]));
+    return ReplyOf(aPlatform.Get(aRequest.segments[1], aRequest.segments[2]),
+                   aPlatform.EpochBegin());
   }
   if (aRequest.method == "PUT" && (depth == 3 || isStatus)) {
     return HandleWrite(aPlatform, aRequest);
--- a/src/sidecar/FleetState.cpp
+++ b/src/sidecar/FleetState.cpp
@@ -54,7 +54,7 @@
   return true;
 }
 
-void FleetState::SetEvacuations(std::set<std::string> aDomains,
+void FleetState::SetEvacuations(const std::set<std::string>& aDomains,
                                 StorePosition aAt,
                                 const char* aFrom)
 {
@@ -114,7 +114,7 @@
         domains.insert(it.get<std::string>());
       }
     }
-    SetEvacuations(std::move(domains), { aPush.epoch, aPush.version }, "peer");
+    SetEvacuations(domains, { aPush.epoch, aPush.version }, "peer");
   }
 }
 
--- a/src/sidecar/FleetState.h
+++ b/src/sidecar/FleetState.h
@@ -42,7 +42,7 @@
    */
   bool ApplyConfigIfNewer(const nlohmann::json& aSpec, const char* aFrom);
 
-  void SetEvacuations(std::set<std::string> aDomains, StorePosition aAt, const char* aFrom);
+  void SetEvacuations(const std::set<std::string>& aDomains, StorePosition aAt, const char* aFrom);
   void SetEvacuation(const std::string& aDomain, bool aEvacuated, StorePosition aAt);
 
   /** Called several times a second. */
--- a/src/sidecar/SidecarNodeStore.cpp
+++ b/src/sidecar/SidecarNodeStore.cpp
@@ -79,7 +79,7 @@
                 domains.insert(it.name);
               }
             }
-            mState.SetEvacuations(std::move(domains), aAt, "store");
+            mState.SetEvacuations(domains, aAt, "store");
           },
            [this](const StoredObject& aObject, StorePosition aAt) {
              mState.SetEvacuation(aObject.name, !aObject.removed, aAt);
