--- a/src/store/KindWatcher.cpp
+++ b/src/store/KindWatcher.cpp
@@ -56,8 +56,9 @@
   if (mStopped) {
     return;
   }
+  mPageSent = mClock.Now();
   if (mListed.empty()) {
-    mListBegin = mClock.Now();
+    mListBegin = mPageSent;
   }
   const std::string after = mListed.empty() ? std::string() : mListed.back().name;
   mStore.list(
@@ -69,7 +70,7 @@
   LogReply("list", aReply);
   if (aReply.status != StoreStatus::kDone) {
     mListed.clear();
-    Pause(aReply.detail);
+    Pause(aReply.detail, mPageSent);
     return;
   }
   SetReachable(true, {});
@@ -171,7 +172,7 @@
     return;
   }
   if (aReply.status != StoreStatus::kDone) {
-    Pause(aReply.detail);
+    Pause(aReply.detail, aSent);
     return;
   }
   SetReachable(true, {});
@@ -234,9 +235,12 @@
              { "epoch", aReply.epoch ? std::to_string(*aReply.epoch) : "none" } });
 }
 
-void KindWatcher::Pause(const std::string& aDetail)
+void KindWatcher::Pause(const std::string& aDetail, TimePoint aSent)
 {
   SetReachable(false, aDetail);
+  if (mClock.Now() - aSent >= kLongestPause) { // the call itself was the pause
+    mPause = kFirstPause;
+  }
   CallLater();
 }
 
--- a/src/store/KindWatcher.h
+++ b/src/store/KindWatcher.h
@@ -17,7 +17,7 @@
 /**
  * Follows one kind of objects: lists it, then watches, and lists anew when the store has dropped
  * its history or goes on in another one. Failed calls are repeated with a growing pause, since each
- * is charged.
+ * is charged; one that waited long for nothing is repeated soon.
  *
  * Load pattern: the store comes back from a copy, and its new history passes the watched revision
  * before the next watch, so the store finds nothing wrong with that watch.
@@ -77,7 +77,7 @@
   void ListAnew();
   void ReportCurrent(TimePoint aAsOf, Freshness aFreshness) const;
   void LogReply(const char* aCall, const StoreReply& aReply) const;
-  void Pause(const std::string& aDetail);
+  void Pause(const std::string& aDetail, TimePoint aSent);
   void CallLater();
   void CallNow();
   void SetReachable(bool aReachable, const std::string& aDetail);
@@ -91,6 +91,7 @@
   std::vector<StoredObject> mListed;
   std::uint64_t mListedEpoch = 0; //!< of the pages in mListed
   TimePoint mListBegin{};         //!< when the first page of the current list was requested
+  TimePoint mPageSent{};          //!< when its latest page was requested
   StorePosition mPosition;        //!< up to which changes are known
   std::uint64_t mEpoch = 0;       //!< newest history that the store is known to have
   std::uint64_t mWatch = 0; //!< number of the latest watch; answers of earlier ones are dropped
--- a/tests/sidecar/KindWatcherTest.cpp
+++ b/tests/sidecar/KindWatcherTest.cpp
@@ -58,6 +58,7 @@
   {
     const auto end = std::chrono::steady_clock::now() + Seconds(3);
     while (!aDone() && std::chrono::steady_clock::now() < end) {
+      loop.restart();
       loop.run_one_for(Milliseconds(20));
     }
     CHECK(aDone());
@@ -210,3 +211,34 @@
   CHECK(order == std::vector<std::string>{
                    "3", "handler", "3", "handler", "3", "handler", "4", "handler", "handler" });
 }
+
+// Guards against a node that hears nothing for seconds after a silent store is back.
+TEST_CASE_FIXTURE(ScriptedStore,
+                  "KindWatcher, calls that time out, are repeated without growing pauses")
+{
+  clock.Pause();
+  Follow(1, 50);
+  StoreReply silent;
+  silent.detail = "no answer";
+  for (std::size_t i = 0; i < 5; ++i) {
+    clock.Advance(Seconds(2));
+    const auto begin = std::chrono::steady_clock::now();
+    watches.back().reply(silent);
+    RunUntil([&] { return watches.size() == i + 2; });
+    CHECK(std::chrono::steady_clock::now() - begin < Milliseconds(450));
+  }
+}
+
+TEST_CASE_FIXTURE(ScriptedStore, "KindWatcher, calls that are refused at once, pauses grow")
+{
+  clock.Pause();
+  Follow(1, 50);
+  StoreReply refused;
+  refused.status = StoreStatus::kUnavailable;
+  const auto begin = std::chrono::steady_clock::now();
+  for (std::size_t i = 0; i < 3; ++i) {
+    watches.back().reply(refused);
+    RunUntil([&] { return watches.size() == i + 2; });
+  }
+  CHECK(std::chrono::steady_clock::now() - begin >= Milliseconds(250 + 500 + 1'000));
+}
