--- a/tools/setup.sh
+++ b/tools/setup.sh
@@ -6,7 +6,7 @@
   g++ cmake make ninja-build clang-format clang-tidy clang-14 libclang-rt-14-dev
   libcivetweb-dev libmsgpack-cxx-dev libgflags-dev liblog4cplus-dev doctest-dev libyaml-cpp-dev
   libboost-dev nlohmann-json3-dev librapidcheck-dev libcurl4-openssl-dev libxxhash-dev
-  libbenchmark-dev libssl-dev bc curl
+  libbenchmark-dev libssl-dev bc curl ccache
 )
 
 missing=()
