Settings of a deployment may lack any group of bounds

Cause: the template rendered cold.bound_ratio without a value where a deployment has no such bounds, and the node refused its settings, so no process started. Each field is now rendered in a section of its own; what is absent has its default, and a feature without its bounds is off. Settings for the process's resources, roll-outs and placement by expected work are read; nothing uses them yet. Ruled out: empty values taken as absent, since a field without a value is a mistake that operators should be told.

--- a/deploy/node.yaml.tpl
+++ b/deploy/node.yaml.tpl
@@ -9,24 +9,67 @@
   control: "{{listen.control}}"
   metrics: "{{ip}}:{{internalPorts.1}}"
 platform: "{{platform.address}}"
+{{#bounds.graceS}}
 stop_grace_s: {{bounds.graceS}}
-retries:
-  ratio: {{bounds.retryBudgetRatio}}
-  slack: {{bounds.budgetSlack}}
-  window_s: {{bounds.retryWindowS}}
-cold:
-  bound_ratio: {{bounds.coldOver}}
-  bound_slack: {{bounds.coldSlack}}
-rates:
-  slack: {{bounds.quotaSlack}}
+{{/bounds.graceS}}
+retries: {
+{{#bounds.retryBudgetRatio}}
+  ratio: {{bounds.retryBudgetRatio}},
+{{/bounds.retryBudgetRatio}}
+{{#bounds.budgetSlack}}
+  slack: {{bounds.budgetSlack}},
+{{/bounds.budgetSlack}}
+{{#bounds.retryWindowS}}
+  window_s: {{bounds.retryWindowS}},
+{{/bounds.retryWindowS}}
+}
+cold: {
+{{#bounds.coldOver}}
+  bound_ratio: {{bounds.coldOver}},
+{{/bounds.coldOver}}
+{{#bounds.coldSlack}}
+  bound_slack: {{bounds.coldSlack}},
+{{/bounds.coldSlack}}
+}
+rates: {
+{{#bounds.quotaSlack}}
+  slack: {{bounds.quotaSlack}},
+{{/bounds.quotaSlack}}
 {{#bounds.quotaOver}}
-  overrun: {{bounds.quotaOver}}
+  overrun: {{bounds.quotaOver}},
 {{/bounds.quotaOver}}
 {{#bounds.quotaWindowS}}
-  window_s: {{bounds.quotaWindowS}}
+  window_s: {{bounds.quotaWindowS}},
 {{/bounds.quotaWindowS}}
+}
+revocation: {
+{{#bounds.strictRevocation}}
+  strict: true,
+{{/bounds.strictRevocation}}
 {{#bounds.revokeMs}}
-revocation:
-  strict: {{bounds.strictRevocation}}
-  bound_ms: {{bounds.revokeMs}}
+  bound_ms: {{bounds.revokeMs}},
 {{/bounds.revokeMs}}
+}
+resources: {
+{{#limits.memoryMb}}
+  memory_mb: {{limits.memoryMb}},
+{{/limits.memoryMb}}
+{{#limits.maxFds}}
+  descriptors: {{limits.maxFds}},
+{{/limits.maxFds}}
+}
+rollouts: {
+{{#bounds.rollbackMs}}
+  enabled: true,
+  rollback_ms: {{bounds.rollbackMs}},
+{{/bounds.rollbackMs}}
+{{#bounds.exposeShare}}
+  expose_share: {{bounds.exposeShare}},
+{{/bounds.exposeShare}}
+{{#bounds.exposeSlack}}
+  expose_slack: {{bounds.exposeSlack}},
+{{/bounds.exposeSlack}}
+}
+{{^bounds.coldOver}}
+placement: { cost_aware: true }
+{{/bounds.coldOver}}
--- a/src/sidecar/SidecarSettings.h
+++ b/src/sidecar/SidecarSettings.h
@@ -4,8 +4,11 @@
 #include "mustardwinch/Clock.h"
 #include "quota/RateSettings.h"
 #include "sidecar/ColdSettings.h"
+#include "sidecar/PlacementSettings.h"
+#include "sidecar/ResourceSettings.h"
 #include "sidecar/RetrySettings.h"
 #include "sidecar/RevocationSettings.h"
+#include "sidecar/RolloutSettings.h"
 
 #include <cstdint>
 #include <string>
@@ -31,6 +34,9 @@
   RetrySettings retries;
   RateSettings rates;
   RevocationSettings revocation;
+  ResourceSettings resources;
+  RolloutSettings rollouts;
+  PlacementSettings placement;
   std::string logLevel = "info";
   std::uint32_t logLinesPerSecond = 200; //!< lines beyond this are dropped and counted
 
--- a/src/sidecar/SidecarSettingsReport.cpp
+++ b/src/sidecar/SidecarSettingsReport.cpp
@@ -16,6 +16,13 @@
 constexpr double kMaxRateWindowSeconds = 600;
 constexpr std::uint32_t kMinRevocationMs = 500;
 constexpr std::uint32_t kMaxRevocationMs = 3'600'000;
+constexpr std::uint32_t kMinMemoryMb = 32;
+constexpr std::uint32_t kMaxMemoryMb = 1U << 20;
+constexpr std::uint32_t kMinDescriptors = 256;
+constexpr std::uint32_t kMaxDescriptors = 1U << 20;
+constexpr double kMaxExposeSlack = 100'000;
+constexpr std::uint32_t kMinRollbackMs = 500;
+constexpr std::uint32_t kMaxRollbackMs = 3'600'000;
 constexpr double kMaxColdFactor = 10;
 constexpr double kMaxColdSlack = 10'000;
 
@@ -78,6 +85,32 @@
   aReader.Finish();
 }
 
+void ReadResources(SpecReader aReader, ResourceSettings& aSettings)
+{
+  aReader.Unsigned(
+    "memory_mb", Presence::kOptional, kMinMemoryMb, kMaxMemoryMb, aSettings.memoryMb);
+  aReader.Unsigned(
+    "descriptors", Presence::kOptional, kMinDescriptors, kMaxDescriptors, aSettings.descriptors);
+  aReader.Finish();
+}
+
+void ReadRollouts(SpecReader aReader, RolloutSettings& aSettings)
+{
+  auto rollback = static_cast<std::uint32_t>(aSettings.rollback.count());
+  aReader.Bool("enabled", Presence::kOptional, aSettings.enabled);
+  aReader.Number("expose_share", Presence::kOptional, 0, 1, aSettings.exposeShare);
+  aReader.Number("expose_slack", Presence::kOptional, 0, kMaxExposeSlack, aSettings.exposeSlack);
+  aReader.Unsigned("rollback_ms", Presence::kOptional, kMinRollbackMs, kMaxRollbackMs, rollback);
+  aSettings.rollback = Milliseconds(rollback);
+  aReader.Finish();
+}
+
+void ReadPlacement(SpecReader aReader, PlacementSettings& aSettings)
+{
+  aReader.Bool("cost_aware", Presence::kOptional, aSettings.costAware);
+  aReader.Finish();
+}
+
 SidecarSettings ReadFields(const nlohmann::json& aValue, std::vector<FieldProblem>& aProblems)
 {
   SidecarSettings settings;
@@ -94,6 +127,9 @@
   ReadRetries(reader.Section("retries", Presence::kOptional), settings.retries);
   ReadRates(reader.Section("rates", Presence::kOptional), settings.rates);
   ReadRevocation(reader.Section("revocation", Presence::kOptional), settings.revocation);
+  ReadResources(reader.Section("resources", Presence::kOptional), settings.resources);
+  ReadRollouts(reader.Section("rollouts", Presence::kOptional), settings.rollouts);
+  ReadPlacement(reader.Section("placement", Presence::kOptional), settings.placement);
   reader.Text("log_level", Presence::kOptional, kLogLevelRule, settings.logLevel);
   reader.Unsigned(
     "log_lines_per_s", Presence::kOptional, 1, kMaxLogLines, settings.logLinesPerSecond);
