A warm upstream proves that it is warm, and then gets more starts than a cold one bears

A gate let at most 6.1 x 1.5 + 8 - 1 = 16 requests a second start, since its upstream might have turned cold unannounced; that is 274 a second in all, so a third of the calls was refused with most slots free, and each refused call lost the run that made it. Now the bound counts from the last answer of the health path that tells that the upstream is warm. A gate asks for it only when four starts are left, so services below the bound see no probes. If the upstream turns cold at any moment, at most the bound starts until it tells so. Tests: 154 moments at which it turns cold, no second above the bound; 27 starts a second all allowed; gate with a real connection.

--- a/src/placement/StartRateLimit.cpp
+++ b/src/placement/StartRateLimit.cpp
@@ -14,9 +14,15 @@
   if (aPerSecond <= 0) {
     return true;
   }
-  const auto inWindow = std::count_if(
-    mStarts.begin(), mStarts.end(), [&](TimePoint aStart) { return aNow - aStart < kWindow; });
-  return static_cast<double>(inWindow) + 1 <= std::max(1.0, aPerSecond);
+  return Remaining(aNow, aPerSecond) >= 1;
+}
+
+double StartRateLimit::Remaining(TimePoint aNow, double aPerSecond) const
+{
+  const auto counted = std::count_if(mStarts.begin(), mStarts.end(), [&](TimePoint aStart) {
+    return aNow - aStart < kWindow && aStart >= mWarmAsOf;
+  });
+  return std::max(1.0, aPerSecond) - static_cast<double>(counted);
 }
 
 void StartRateLimit::OnStart(TimePoint aNow)
@@ -27,4 +33,13 @@
   mStarts.push_back(aNow);
 }
 
+void StartRateLimit::OnDelayedStart(TimePoint aBefore, TimePoint aNow)
+{
+  const auto counted = std::lower_bound(mStarts.begin(), mStarts.end(), aBefore);
+  if (counted != mStarts.end() && *counted == aBefore) {
+    mStarts.erase(counted);
+  }
+  OnStart(aNow);
+}
+
 } // namespace mustardwinch
--- a/src/sidecar/Gate.cpp
+++ b/src/sidecar/Gate.cpp
@@ -24,6 +24,10 @@
 constexpr double kTargetWaitShare = 0.4;
 constexpr Milliseconds kMinQueueTime{ 150 };
 
+/** Starts that are left under the bound when the upstream is asked whether it is still warm. The
+ * answer takes the time of a short request, in which a busy upstream starts about so many. */
+constexpr double kWarmthProbeMargin = 4;
+
 /** A complete answer is copied a few times on its way to the caller, on VMs of 160 MB. */
 constexpr std::size_t kMaxAnswersBytes = 24U << 20;
 
@@ -39,6 +43,7 @@
   , mNames(std::move(aNames))
   , mCold(aCold)
   , mDelegate(std::move(aDelegate))
+  , mWarmth(aLoop, aClock, mNames, [this](const auto& aReply) { OnWarmth(aReply); })
   , mAnswerBytes(std::make_shared<ByteBudget>(kMaxAnswersBytes))
   , mSmoothedAnswerMs(kInitialAnswerMs)
 {
@@ -59,7 +64,9 @@
   };
   return mLatencies.Text() + refusals("yes", mBelievedRefusals) +
          refusals("no", mDisbelievedRefusals) + "mw_upstream_answers_dropped_total " +
-         std::to_string(mDroppedAnswers) + "\n";
+         std::to_string(mDroppedAnswers) + "\nmw_gate_held_by_cold_bound_total " +
+         std::to_string(mHeldByBound) + "\nmw_gate_warmth_probes_total " +
+         std::to_string(mWarmth.Count()) + "\n";
 }
 
 void Gate::Announce(const UpstreamAnnouncement& aAnnouncement)
@@ -68,6 +75,9 @@
     mDownUntil = {}; // the upstream is running: connect again
   }
   OnUpstreamChange(mState.Announce(aAnnouncement, mClock.Now()));
+  if (mState.IsCold(mClock.Now())) {
+    mStarts.OnCold();
+  }
 }
 
 void Gate::Leave(const std::string& aInstance, std::uint64_t aProcessStartMs)
@@ -79,6 +89,7 @@
 {
   if (aChange == UpstreamState::Change::kReplaced) {
     mHealth.Reset();
+    mStarts.OnCold(); // what was known concerned another process
     mDownUntil = {};
     ClosePool();
     LogEvent(LogLevel::kInfo,
@@ -144,7 +155,9 @@
   constexpr double kMillisecondsPerSecond = 1'000;
   const double slots = std::max<std::uint32_t>(1, mState.Current().slots);
   const double ahead = static_cast<double>(mQueue.CountAhead(aPriority)) + 1;
-  const double starts = StartsPerSecond(aService);
+  // A warm upstream starts as many as it has slots for, as long as it tells that it is warm.
+  const bool bounded = mState.IsCold(mClock.Now()) || HealthPath(aService).empty();
+  const double starts = bounded ? StartsPerSecond(aService) : 0;
   const double forStart = starts > 0 ? kMillisecondsPerSecond / starts : 0;
   return Milliseconds(static_cast<int>(ahead * std::max(mSmoothedAnswerMs / slots, forStart)));
 }
@@ -165,6 +178,40 @@
   return mCold.StartsPerSecond(coldCapacity, mState.IsCold(mClock.Now()));
 }
 
+std::string Gate::HealthPath(const std::string& aService) const
+{
+  return mDelegate.healthPath ? mDelegate.healthPath(aService) : std::string();
+}
+
+void Gate::ProbeWarmthIfNeeded()
+{
+  const TimePoint now = mClock.Now();
+  const std::string& service = mState.Current().service;
+  const double bound = StartsPerSecond(service);
+  if (bound <= 0 || !mState.IsAvailable() || mState.IsCold(now) ||
+      mStarts.Remaining(now, bound) > kWarmthProbeMargin) {
+    return;
+  }
+  const std::string path = HealthPath(service);
+  if (!path.empty()) {
+    mWarmth.Ask(mState.Current().address, path);
+  }
+}
+
+void Gate::OnWarmth(const WarmthProbe::Reply& aReply)
+{
+  if (!mState.IsKnown() || aReply.instance != mState.Current().instance) {
+    return;
+  }
+  if (aReply.coldRemaining.count() > 0) {
+    mState.SetCold(mClock.Now() + aReply.coldRemaining);
+    mStarts.OnCold();
+    return;
+  }
+  mStarts.OnWarm(aReply.asked);
+  StartQueued();
+}
+
 void Gate::Refuse(const ResultFn& aDone, ResultCode aReason, Milliseconds aWait)
 {
   GateCallResult result;
@@ -189,6 +236,10 @@
     Start(ticket, { std::move(aCall), std::move(aDone), std::move(aWantBody), deadline });
     return ticket;
   }
+  if (mRunning.size() < mState.Current().slots) {
+    ++mHeldByBound;
+    ProbeWarmthIfNeeded();
+  }
   const Milliseconds wait = ExpectedWait(aCall.service, aCall.priority);
   const Duration maxWait = MaxQueueTime(aCall);
   if (!aCall.mayWait || wait > maxWait) {
@@ -253,6 +304,9 @@
     }
   }
   StartQueued();
+  if (mQueue.Size() != 0) {
+    ProbeWarmthIfNeeded();
+  }
   PublishStatusIfChanged();
 }
 
--- a/src/sidecar/Gate.h
+++ b/src/sidecar/Gate.h
@@ -14,6 +14,7 @@
 #include "sidecar/HttpNames.h"
 #include "sidecar/UpstreamRefusal.h"
 #include "sidecar/UpstreamState.h"
+#include "sidecar/WarmthProbe.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -48,6 +49,8 @@
     /** The availability or the trust changed. @param aForAll false: only nodes of the same failure
      * domain need to know */
     std::function<void(bool aForAll)> onStatusChange;
+    /** Path at which upstreams of a service tell whether they are cold; empty: not known. */
+    std::function<std::string(const std::string& aService)> healthPath = nullptr;
   };
 
   Gate(boost::asio::io_context& aLoop,
@@ -137,6 +140,11 @@
   std::optional<ResultCode> RefusalReason(const GateCall& aCall) const;
   bool CanStartNow(const GateCall& aCall) const;
   double StartsPerSecond(const std::string& aService) const;
+  std::string HealthPath(const std::string& aService) const;
+
+  /** Asks the upstream whether it is still warm before the bound on starts holds requests back. */
+  void ProbeWarmthIfNeeded();
+  void OnWarmth(const WarmthProbe::Reply& aReply);
   Milliseconds ExpectedWait(const std::string& aService, int aPriority) const;
 
   /** Maximum time that the request may wait in the queue. */
@@ -177,6 +185,7 @@
   UpstreamState mState;
   UpstreamHealth mHealth;
   StartRateLimit mStarts;
+  WarmthProbe mWarmth;
   WaitingQueue mQueue;
   std::map<Ticket, QueuedCall> mQueuedCalls;
   std::map<Ticket, ActivePtr> mRunning;
@@ -185,6 +194,7 @@
   LatencyHistograms mLatencies{ "mw_gate_answer_seconds" };
   std::uint64_t mDroppedAnswers = 0;      //!< that belonged to another request
   std::uint64_t mBelievedRefusals = 0;    //!< answers that were taken for "not run"
+  std::uint64_t mHeldByBound = 0;         //!< requests refused or queued while slots were free
   std::uint64_t mDisbelievedRefusals = 0; //!< answers that looked so and were not
   TimePoint mDownUntil{};   //!< no connection is attempted until then, after a failed one
   double mSmoothedAnswerMs; //!< exponentially smoothed time of a successful answer
--- a/src/sidecar/GateActiveCalls.cpp
+++ b/src/sidecar/GateActiveCalls.cpp
@@ -100,6 +100,7 @@
 {
   const TimePoint now = mClock.Now();
   mStarts.OnStart(now);
+  ProbeWarmthIfNeeded();
   if (Trust() == UpstreamTrust::kTrialDue) {
     mHealth.OnTrial(now);
   }
@@ -142,7 +143,9 @@
   const ActivePtr active = it->second;
   active->call.request.body = std::move(aBody);
   active->call.bodyFollows = false;
-  active->begin = mClock.Now();
+  const TimePoint now = mClock.Now();
+  mStarts.OnDelayedStart(active->begin, now);
+  active->begin = now;
   Send(aTicket, active);
 }
 
--- a/src/sidecar/HttpNames.h
+++ b/src/sidecar/HttpNames.h
@@ -15,6 +15,7 @@
   std::string expectInstance; //!< instance that the request is for; other instances reject it
   std::string instance;       //!< instance that answers; not in all answers
   std::string signature;      //!< present in each answer that an upstream generated
+  std::string coldRemaining;  //!< milliseconds for which the upstream stays cold; in health answers
   std::string notRun;         //!< present if the upstream did not run the request
   std::string retryAfter;     //!< seconds, fractions allowed
   std::string readyPath;      //!< readiness path, polled by the platform
--- a/src/sidecar/SidecarNodeGates.cpp
+++ b/src/sidecar/SidecarNodeGates.cpp
@@ -41,6 +41,11 @@
     const TrafficService* service = routing->FindService(aService);
     return service != nullptr ? service->coldRequestsPerSecond : 0.0;
   };
+  delegate.healthPath = [this](const std::string& aService) {
+    const auto routing = mState.Routing();
+    const TrafficService* service = routing ? routing->FindService(aService) : nullptr;
+    return service != nullptr ? service->healthPath : std::string();
+  };
   delegate.isEvacuated = [this](const std::string& aDomain) { return mState.IsEvacuated(aDomain); };
   delegate.onStatusChange = [this](bool aForAll) {
     mServer.Broadcast(aForAll ? std::string() : mSettings.failureDomain);
--- a/src/sidecar/UpstreamState.h
+++ b/src/sidecar/UpstreamState.h
@@ -3,6 +3,7 @@
 #include "mustardwinch/Clock.h"
 #include "sidecar/UpstreamAnnouncement.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <deque>
 #include <string>
@@ -37,6 +38,9 @@
   /** Another upstream answered at the address. Nothing is sent until it announces itself. */
   void OnWrongInstance();
 
+  /** The upstream told otherwise than by an announcement that it is cold. */
+  void SetCold(TimePoint aUntil) { mColdUntil = std::max(mColdUntil, aUntil); }
+
   /** Marks an instance as leaving, as reported by a peer. */
   void RememberLeaving(const std::string& aInstance);
 
--- a/tests/placement/StartRateLimitTest.cpp
+++ b/tests/placement/StartRateLimitTest.cpp
@@ -3,6 +3,7 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <vector>
 
 using namespace mustardwinch;
@@ -24,6 +25,62 @@
   CHECK(starts.size() >= 400);
 }
 
+// A service of 17 upstreams with 5 slots got 410 calls a second of 55 ms and refused half of them.
+TEST_CASE("StartRateLimit, warm upstream with short requests, starts more than a cold one bears")
+{
+  constexpr double kBound = 16;
+  StartRateLimit limit;
+  int allowed = 0;
+  TimePoint proof{ Seconds(1'000) };
+  for (TimePoint now = proof; now < TimePoint{ Seconds(1'010) }; now += Milliseconds(37)) {
+    if (limit.Remaining(now, kBound) <= 4 && now - proof > Milliseconds(250)) {
+      proof = now;
+      limit.OnWarm(proof);
+    }
+    if (limit.Allows(now, kBound)) {
+      limit.OnStart(now);
+      ++allowed;
+    }
+  }
+  CHECK(allowed == 271); // all of them
+}
+
+TEST_CASE("StartRateLimit, upstream turns cold at any moment, gets no more than the bound")
+{
+  constexpr double kBound = 16;
+  constexpr double kCold = 7;
+  for (int coldMs = 0; coldMs < 2'000; coldMs += 13) {
+    StartRateLimit limit;
+    const TimePoint begin{ Seconds(1'000) };
+    const TimePoint cold = begin + Milliseconds(coldMs);
+    std::vector<TimePoint> starts;
+    TimePoint asked = begin;
+    bool pending = false;
+    bool known = false; // the gate knows that the upstream is cold
+    for (TimePoint now = begin; now < cold + Seconds(2); now += Milliseconds(5)) {
+      if (pending && now - asked >= Milliseconds(30)) {
+        pending = false;
+        known = now >= cold; // what the upstream tells when it answers
+        known ? limit.OnCold() : limit.OnWarm(asked);
+      }
+      if (!pending && now - asked >= Milliseconds(250)) {
+        pending = true;
+        asked = now;
+      }
+      if (limit.Allows(now, known ? kCold : kBound)) {
+        limit.OnStart(now);
+        starts.push_back(now);
+      }
+    }
+    for (std::size_t i = 0; i < starts.size(); ++i) {
+      const auto inSecond = std::count_if(starts.begin(), starts.end(), [&](TimePoint aStart) {
+        return aStart >= std::max(cold, starts[i]) && aStart < starts[i] + Seconds(1);
+      });
+      CHECK(inSecond <= static_cast<int>(kBound));
+    }
+  }
+}
+
 TEST_CASE("StartRateLimit, no limit set, allows all requests")
 {
   StartRateLimit limit;
--- a/tests/sidecar/GateTest.cpp
+++ b/tests/sidecar/GateTest.cpp
@@ -19,10 +19,11 @@
   Gate::Delegate MakeDelegate() const
   {
     return { [this](const std::string&) -> std::optional<double> {
-              return configured ? std::optional(0.0) : std::nullopt;
+              return configured ? std::optional(coldPerSecond) : std::nullopt;
             },
              [](const std::string&) { return false; },
-             [](bool) {} };
+             [](bool) {},
+             [](const std::string&) { return std::string("/h"); } };
   }
 
   void Submit(const std::string& aId,
@@ -78,8 +79,25 @@
              platform::MakePlatformBinding(gateLoop, kUnused).names,
              ColdSettings{},
              MakeDelegate() };
+  /** Sends requests one after another. @return how many were answered */
+  int SubmitInTurn(int aCount)
+  {
+    int answered = 0;
+    for (int i = 0; i < aCount; ++i) {
+      std::optional<GateCallResult> result;
+      Submit("s-" + std::to_string(i), Seconds(4), result);
+      RunUntil([&] {
+        gate.Tick();
+        return result.has_value();
+      });
+      answered += result && result->outcome == CallOutcome::kAnswered ? 1 : 0;
+    }
+    return answered;
+  }
+
   int bodiesWanted = 0;
   bool configured = true;
+  double coldPerSecond = 0;
   std::optional<GateCallResult> first;
   std::optional<GateCallResult> second;
 
@@ -193,3 +211,30 @@
   REQUIRE(second);
   CHECK(second->outcome == CallOutcome::kAnswered);
 }
+
+// Requests were refused for want of starts while most slots were free.
+TEST_CASE_FIXTURE(GateFixture,
+                  "Gate, warm upstream with short requests, is asked and gets more than the bound")
+{
+  coldPerSecond = 10; // 14.4 starts a second without proof
+  const auto begin = std::chrono::steady_clock::now();
+  CHECK(SubmitInTurn(30) == 30);
+  CHECK(upstream.healthRequests >= 2);
+  CHECK(std::chrono::steady_clock::now() - begin < Seconds(2));
+}
+
+TEST_CASE_FIXTURE(GateFixture,
+                  "Gate, upstream that turned cold unannounced, tells so and gets few requests")
+{
+  coldPerSecond = 10;
+  upstream.coldMs = 60'000;
+  gate.Announce({ "i-0", "booking", upstream.address, "a", 20, false, 1'000, 2 });
+  const auto begin = std::chrono::steady_clock::now();
+  std::vector<std::optional<GateCallResult>> results(40);
+  for (std::size_t i = 0; i < results.size(); ++i) {
+    Submit("c-" + std::to_string(i), Seconds(4), results[i]);
+  }
+  RunUntil([&] { return std::chrono::steady_clock::now() - begin > Milliseconds(900); });
+  CHECK(upstream.healthRequests >= 1);
+  CHECK(upstream.requests.size() <= 14);
+}
--- a/tests/sidecar/TestUpstream.h
+++ b/tests/sidecar/TestUpstream.h
@@ -29,6 +29,12 @@
 
   void Handle(const std::shared_ptr<HttpSession>& aSession, const HttpRequest& aRequest)
   {
+    if (aRequest.target == "/h") {
+      ++healthRequests;
+      aSession->Answer(
+        { 200, { { "X-Instance-Id", instance }, { "X-Warmup-Ms", std::to_string(coldMs) } }, "" });
+      return;
+    }
     const std::string id(HeaderValue(aRequest.headers, "X-Request-Id"));
     if (HeaderValue(aRequest.headers, "X-Expected-Instance") != instance) {
       aSession->Answer({ 421, { { "X-Request-Id", id }, { "X-Instance-Id", instance } }, "" });
@@ -76,6 +82,8 @@
   HttpListener listener;
   std::vector<HttpRequest> requests; //!< requests that the upstream started to process
   std::vector<std::shared_ptr<HttpSession>> held;
+  int healthRequests = 0;
+  int coldMs = 0; //!< as its health path tells
   bool reset = false;
   bool hang = false;
   bool shed = false;
