Rollouts: the fleet brings a new version in by steps, judges it and takes it back

Cause: nothing read rollouts/SERVICE, so a new version got its share of the requests at once, bad or not, and no order ever ended. Orders are watched; the first live node in rank coordinates; gates report outcomes by route; JudgeVersion and PlanRollout are pure; steps are told over the links and hold for 1.5 s; a final state is written under the object's revision. Gates enforce the step as well as ingresses. Ruled out: evidence at ingresses, a lease in the store, a share over all new upstreams (docs/design/rollouts.md).

--- a/src/fleet/FleetMessage.h
+++ b/src/fleet/FleetMessage.h
@@ -29,6 +29,8 @@
   kCallBody,
   kCurrencyAsk,
   kCurrencyReply,
+  kRolloutStep,   //!< see RolloutMessage.h
+  kRolloutReport, //!< see RolloutMessage.h
 };
 
 /** Kinds of state that nodes hand each other. */
@@ -37,6 +39,7 @@
   kConfig,
   kEvacuations,
   kMembers,
+  kRollouts,
 };
 
 /** First message of the node that dialled. */
@@ -58,7 +61,15 @@
   std::vector<std::uint32_t> unheard; //!< VmTag() of those that the sender knows and does not hear
   std::uint64_t evacuationsEpoch = 0; //!< of the store's history, for evacuationsRevision
   std::uint64_t storeEpoch = 0;       //!< newest history of the store that the sender knows of
-  MSGPACK_DEFINE(configVersion, evacuationsRevision, unheard, evacuationsEpoch, storeEpoch)
+  std::uint64_t rolloutsRevision = 0;
+  std::uint64_t rolloutsEpoch = 0; //!< of the store's history, for rolloutsRevision
+  MSGPACK_DEFINE(configVersion,
+                 evacuationsRevision,
+                 unheard,
+                 evacuationsEpoch,
+                 storeEpoch,
+                 rolloutsRevision,
+                 rolloutsEpoch)
 };
 
 /** State of a gate and the upstream beside it. */
@@ -80,6 +91,9 @@
   bool reachesStore = true;
   std::uint64_t evacuationsEpoch = 0; //!< of the store's history, for evacuationsRevision
   std::uint64_t storeEpoch = 0;       //!< newest history of the store that the node knows of
+  std::string version;                //!< of the upstream's software
+  std::uint64_t rolloutsRevision = 0;
+  std::uint64_t rolloutsEpoch = 0; //!< of the store's history, for rolloutsRevision
   MSGPACK_DEFINE(available,
                  trust,
                  running,
@@ -95,7 +109,10 @@
                  ageMs,
                  reachesStore,
                  evacuationsEpoch,
-                 storeEpoch)
+                 storeEpoch,
+                 version,
+                 rolloutsRevision,
+                 rolloutsEpoch)
 };
 
 /** Load of a gate whose state has not changed. Sent with each heartbeat, so it holds no text. */
@@ -135,6 +152,8 @@
   bool mayWait = false;    //!< may be queued; otherwise it starts at once or is refused
   bool lastResort = false; //!< run even if the upstream is doubtful
   bool repeat = false;     //!< it was sent to an upstream before
+  std::string route;       //!< name, for what is counted by route
+  std::string version;     //!< version of the upstream that the ingress has chosen; empty: any
   MSGPACK_DEFINE(call,
                  requestId,
                  service,
@@ -150,7 +169,9 @@
                  idempotent,
                  mayWait,
                  lastResort,
-                 repeat)
+                 repeat,
+                 route,
+                 version)
 };
 
 /** The gate's final word on a call. */
--- a/src/fleet/FleetServer.cpp
+++ b/src/fleet/FleetServer.cpp
@@ -23,7 +23,8 @@
          aOne.evacuationsRevision == aTwo.evacuationsRevision &&
          aOne.evacuationsEpoch == aTwo.evacuationsEpoch && aOne.storeEpoch == aTwo.storeEpoch &&
          aOne.leaving == aTwo.leaving && aOne.service == aTwo.service &&
-         aOne.reachesStore == aTwo.reachesStore;
+         aOne.reachesStore == aTwo.reachesStore && aOne.version == aTwo.version &&
+         aOne.rolloutsRevision == aTwo.rolloutsRevision && aOne.rolloutsEpoch == aTwo.rolloutsEpoch;
 }
 
 } // namespace
@@ -135,6 +136,14 @@
       reply.ask = ask->ask;
       aPeer->connection->Send(EncodeFleetMessage(FleetMessage::kCurrencyReply, reply));
     }
+  } else if (kind == FleetMessage::kRolloutStep) {
+    if (const auto step = DecodeFleetMessage<RolloutStepMessage>(rest)) {
+      mHandlers.onRolloutStep(*step);
+    }
+  } else if (kind == FleetMessage::kRolloutReport) {
+    if (const auto report = DecodeFleetMessage<RolloutReportMessage>(rest)) {
+      mHandlers.onRolloutReport(*report);
+    }
   } else {
     LogEvent(LogLevel::kWarn, Event::kFrameRejected, { { "vm", aPeer->vm } });
     aPeer->connection->Close();
--- a/src/fleet/FleetServer.h
+++ b/src/fleet/FleetServer.h
@@ -2,6 +2,7 @@
 
 #include "fleet/FleetMessage.h"
 #include "fleet/FrameConnection.h"
+#include "fleet/RolloutMessage.h"
 #include "mustardwinch/Address.h"
 #include "mustardwinch/Clock.h"
 #include "quota/RateVerdict.h"
@@ -38,6 +39,8 @@
     std::function<GateStatusMessage()> status;
     /** How current this node's configuration is. */
     std::function<CurrencyReplyMessage()> currency;
+    std::function<void(const RolloutStepMessage&)> onRolloutStep;
+    std::function<void(const RolloutReportMessage&)> onRolloutReport;
   };
 
   FleetServer(boost::asio::io_context& aLoop, Handlers aHandlers);
--- a/src/fleet/PeerLink.cpp
+++ b/src/fleet/PeerLink.cpp
@@ -254,6 +254,13 @@
   }
 }
 
+void PeerLink::Tell(const std::string& aFrame)
+{
+  if (IsUp()) {
+    mConnection->Send(aFrame);
+  }
+}
+
 void PeerLink::OnClosed(const std::shared_ptr<FrameConnection>& aConnection)
 {
   if (aConnection == mConnection) {
--- a/src/fleet/PeerLink.h
+++ b/src/fleet/PeerLink.h
@@ -72,6 +72,9 @@
 
   void Pull(SharedState aState);
 
+  /** Sends a frame that is not answered. Dropped if there is no connection. */
+  void Tell(const std::string& aFrame);
+
   /** Sends a heartbeat now, for example because the configuration has changed. */
   void Announce();
 
--- a/src/fleet/PeerLinkFrames.cpp
+++ b/src/fleet/PeerLinkFrames.cpp
@@ -118,6 +118,7 @@
   mDownSince = {};
   mView.available = aStatus.available;
   mView.service = aStatus.service;
+  mView.version = aStatus.version;
   mView.trust = static_cast<UpstreamTrust>(aStatus.trust);
   mView.running = aStatus.running;
   mView.queued = aStatus.queued;
--- a/src/placement/GateView.h
+++ b/src/placement/GateView.h
@@ -13,6 +13,7 @@
 {
   std::string vm;
   std::string service;
+  std::string version; //!< of the upstream's software
   std::string failureDomain;
   bool self = false;      //!< the gate is on the same node as the ingress
   bool available = false; //!< the upstream accepts new requests
--- a/src/placement/PlacementPolicy.cpp
+++ b/src/placement/PlacementPolicy.cpp
@@ -97,7 +97,8 @@
 bool IsEligible(const GateView& aGate, const PlacementRequest& aRequest)
 {
   if (!aGate.available || aGate.service != aRequest.service ||
-      aRequest.excluded.count(aGate.vm) != 0) {
+      aRequest.excluded.count(aGate.vm) != 0 ||
+      !aRequest.versions.Allows(aGate.version, aGate.vm)) {
     return false;
   }
   if (aRequest.lastResort || aRequest.fewTrusted || aGate.trust == UpstreamTrust::kTrusted) {
--- a/src/sidecar/CallCodec.cpp
+++ b/src/sidecar/CallCodec.cpp
@@ -68,6 +68,8 @@
   message.lastResort = aCall.lastResort;
   message.repeat = aCall.isRetry;
   message.bodyFollows = aCall.bodyFollows;
+  message.route = aCall.route;
+  message.version = aCall.version;
   return message;
 }
 
@@ -89,6 +91,8 @@
   call.lastResort = aMessage.lastResort;
   call.isRetry = aMessage.repeat;
   call.bodyFollows = aMessage.bodyFollows;
+  call.route = std::move(aMessage.route);
+  call.version = std::move(aMessage.version);
   return call;
 }
 
--- a/src/sidecar/Exchange.cpp
+++ b/src/sidecar/Exchange.cpp
@@ -111,6 +111,7 @@
     ParseMilliseconds(HeaderValue(mRequest.headers, mServices.names.remaining));
   mDeadline = mStartTime + std::min(mRoute->timeout, callerTimeout.value_or(mRoute->timeout));
   mService = mIngress.ChooseTargetOf(*mRoute);
+  mForNewVersion = mServices.drawNewVersion(mService);
   mPlacement.service = mService;
   mPlacement.bodyBytes = mRequest.body.size() + mIngress.ExpectedAnswerBytes(mRoute->name);
   mPlacement.randomBits = mIngress.mRandom();
--- a/src/sidecar/Exchange.h
+++ b/src/sidecar/Exchange.h
@@ -103,8 +103,9 @@
   bool mMayHaveRun = false;
   std::string mRateDecidedBy; //!< VM that decided; empty: the local share
   bool mWaitedForGate = false;
-  bool mQueued = false;       //!< a gate was allowed to queue the request
-  bool mRetryPending = false; //!< waiting for the decision of the shared retry budget
+  bool mQueued = false;        //!< a gate was allowed to queue the request
+  bool mForNewVersion = false; //!< one of the requests that a roll-out sends to the new version
+  bool mRetryPending = false;  //!< waiting for the decision of the shared retry budget
   bool mRetryDenied = false;
   bool mEnded = false;
   std::optional<HttpAnswer> mFailedAnswer; //!< 5xx answer, delivered if no attempt succeeds
--- a/src/sidecar/ExchangeAttempts.cpp
+++ b/src/sidecar/ExchangeAttempts.cpp
@@ -27,7 +27,12 @@
     // upstream.
     mPlacement.idempotent = mRoute->idempotent && mSent + 1 < mRoute->maxAttempts;
     mPlacement.fewTrusted = PlacementPolicy::FewTrusted(views, mService);
+    mPlacement.versions = mServices.versionRule(mService, mForNewVersion);
     const int chosen = mIngress.mPlacement.Choose(views, mPlacement, mServices.clock.Now());
+    if (chosen < 0 && mForNewVersion) {
+      mForNewVersion = false; // its upstreams cannot take it
+      continue;
+    }
     if (chosen < 0) {
       return false;
     }
@@ -73,6 +78,8 @@
   call.idempotent = mRoute->idempotent;
   call.mayWait = aMayWait;
   call.lastResort = aLastResort;
+  call.route = mRoute->name;
+  call.version = mPlacement.versions.required;
   call.isRetry = mSent > 0 || mAttempts.size() > 1; // mAttempts contains this attempt
   return call;
 }
@@ -95,6 +102,7 @@
                { "reached", aResult.reached ? "yes" : "no" } });
   }
   mSent += aResult.reached ? 1 : 0;
+  mForNewVersion = false; // a further attempt goes to the version in use
   const bool isRetry = aResult.reached && mSent > 1;
   if (isRetry && mOrganisation != nullptr) {
     mServices.onRetry(mOrganisation->organisation.name);
@@ -221,6 +229,7 @@
     return;
   }
   if (mServices.retries(mService).TryTake()) {
+    mForNewVersion = false;
     mSent += 1; // the pending attempt has most likely reached its upstream
     TryPlace(false, false);
     mSent -= 1;
--- a/src/sidecar/Gate.cpp
+++ b/src/sidecar/Gate.cpp
@@ -24,6 +24,9 @@
 constexpr double kTargetWaitShare = 0.4;
 constexpr Milliseconds kMinQueueTime{ 150 };
 
+/** An upstream is slow in its first seconds, also if it is not cold. */
+constexpr Milliseconds kSettlingTime{ 1'500 };
+
 /** Starts that are left under the bound when the upstream is asked whether it is still warm. The
  * answer takes the time of a short request, in which a busy upstream starts about so many. */
 constexpr double kWarmthProbeMargin = 4;
@@ -53,7 +56,14 @@
 {
   return mAccepting && mState.IsAvailable() && mClock.Now() >= mDownUntil &&
          mDelegate.coldRequestsPerSecond(mState.Current().service) &&
-         !mDelegate.isEvacuated(mState.Current().failureDomain);
+         !mDelegate.isEvacuated(mState.Current().failureDomain) &&
+         (!mDelegate.isInUse || mDelegate.isInUse(mState.Current()));
+}
+
+bool Gate::IsWarm() const
+{
+  const TimePoint now = mClock.Now();
+  return IsAvailable() && !mState.IsCold(now) && now - mUpstreamSince >= kSettlingTime;
 }
 
 std::string Gate::MetricsText() const
@@ -90,6 +100,7 @@
   if (aChange == UpstreamState::Change::kReplaced) {
     mHealth.Reset();
     mStarts.OnCold(); // what was known concerned another process
+    mUpstreamSince = mClock.Now();
     mDownUntil = {};
     ClosePool();
     LogEvent(LogLevel::kInfo,
@@ -123,6 +134,9 @@
   if (mDelegate.isEvacuated(mState.Current().failureDomain)) {
     return ResultCode::kGateEvacuated;
   }
+  if (mDelegate.mayRun && !mDelegate.mayRun(mState.Current(), aCall.version)) {
+    return ResultCode::kGateVersionNotInUse;
+  }
   if (mClock.Now() < mDownUntil) {
     return ResultCode::kGateConnectFailed;
   }
@@ -283,7 +297,7 @@
   PublishStatusIfChanged();
 }
 
-void Gate::OnEvacuation()
+void Gate::OnRestriction()
 {
   StartQueued();
   PublishStatusIfChanged();
--- a/src/sidecar/Gate.h
+++ b/src/sidecar/Gate.h
@@ -7,6 +7,7 @@
 #include "placement/StartRateLimit.h"
 #include "placement/UpstreamHealth.h"
 #include "placement/WaitingQueue.h"
+#include "rollout/RouteCounts.h"
 #include "sidecar/AnsweredRequests.h"
 #include "sidecar/ColdSettings.h"
 #include "sidecar/GateCall.h"
@@ -51,6 +52,12 @@
     std::function<void(bool aForAll)> onStatusChange;
     /** Path at which upstreams of a service tell whether they are cold; empty: not known. */
     std::function<std::string(const std::string& aService)> healthPath = nullptr;
+    /** Whether a roll-out lets the upstream run a request. Null: always.
+     * @param aMeantFor version that the ingress has chosen; empty: any */
+    std::function<bool(const UpstreamAnnouncement& aUpstream, const std::string& aMeantFor)>
+      mayRun = nullptr;
+    /** Whether a roll-out lets the upstream run any request. Null: it does. */
+    std::function<bool(const UpstreamAnnouncement& aUpstream)> isInUse = nullptr;
   };
 
   Gate(boost::asio::io_context& aLoop,
@@ -86,8 +93,15 @@
    * second. */
   void Tick();
 
-  /** Refuses queued requests if the failure domain is now evacuated. */
-  void OnEvacuation();
+  /** Refuses queued requests that an evacuation or a roll-out no longer lets start. */
+  void OnRestriction();
+
+  /** The upstream is available, not cold, and has not just started. */
+  bool IsWarm() const;
+
+  /** Outcomes at the upstream by route since BeginEvidence(), without those of its cold time. */
+  const RouteEvidence& Evidence() const { return mEvidence; }
+  void BeginEvidence() { mEvidence.clear(); }
 
   bool IsAvailable() const;
   UpstreamTrust Trust() const { return mHealth.TrustAt(mClock.Now()); }
@@ -160,6 +174,7 @@
   GateCallResult ClassifyAnswer(const ActivePtr& aActive,
                                 HttpAnswer aAnswer,
                                 RefusalVerdict aVerdict);
+  void AddEvidence(const ActiveCall& aActive, const GateCallResult& aResult);
   bool BelongsTo(const std::string& aRequestId, const HttpAnswer& aAnswer);
 
   /** Writes down by which evidence an answer that looks like a refusal was believed or not. */
@@ -198,6 +213,8 @@
   std::uint64_t mDisbelievedRefusals = 0; //!< answers that looked so and were not
   TimePoint mDownUntil{};   //!< no connection is attempted until then, after a failed one
   double mSmoothedAnswerMs; //!< exponentially smoothed time of a successful answer
+  RouteEvidence mEvidence;
+  TimePoint mUpstreamSince{}; //!< when the present process of the upstream announced itself
   Ticket mNextTicket = 1;
   bool mAccepting = true;
   bool mLastAvailable = false;
--- a/src/sidecar/GateActiveCalls.cpp
+++ b/src/sidecar/GateActiveCalls.cpp
@@ -25,6 +25,9 @@
 constexpr double kIdleLimitShare = 0.7;
 
 constexpr std::size_t kMaxPooled = 16;
+
+/** Routes whose outcomes are counted; a service has a few. */
+constexpr std::size_t kMaxEvidenceRoutes = 64;
 constexpr std::size_t kMaxAnswerBytes = 16U << 20;
 
 constexpr unsigned kFirstServerError = 500;
@@ -272,11 +275,30 @@
     ClosePool(); // the other pooled connections are as old
   }
   GateCallResult outcome = ClassifyResult(aActive, aResult);
+  AddEvidence(*aActive, outcome);
   // Release the channel first, because the next request may use it at once.
   ReleaseChannel(*aActive, aResult, outcome);
   Finish(aTicket, aActive, std::move(outcome));
 }
 
+/** Counts an outcome for the comparison of versions; what a caller has cancelled says nothing. */
+void Gate::AddEvidence(const ActiveCall& aActive, const GateCallResult& aResult)
+{
+  const TimePoint now = mClock.Now();
+  const bool isNew = mEvidence.count(aActive.call.route) == 0;
+  if (aActive.cancelled || aActive.call.route.empty() || !IsWarm() ||
+      aResult.outcome == CallOutcome::kRefused ||
+      (isNew && mEvidence.size() >= kMaxEvidenceRoutes)) {
+    return;
+  }
+  RouteCounts& counts = mEvidence[aActive.call.route];
+  if (aResult.outcome == CallOutcome::kAnswered && aResult.answer.status < kFirstServerError) {
+    counts.AddSuccess(std::chrono::duration<double, std::milli>(now - aActive.begin).count());
+  } else {
+    counts.AddFailure();
+  }
+}
+
 GateCallResult Gate::ClassifyResult(const ActivePtr& aActive, HttpChannelResult& aResult)
 {
   const TimePoint now = mClock.Now();
--- a/src/sidecar/IngressServices.h
+++ b/src/sidecar/IngressServices.h
@@ -4,6 +4,7 @@
 #include "mustardwinch/Organisation.h"
 #include "placement/NodeRetryBudget.h"
 #include "quota/RateVerdict.h"
+#include "rollout/VersionRule.h"
 #include "routing/RoutingTable.h"
 #include "sidecar/GateDirectory.h"
 #include "sidecar/HttpNames.h"
@@ -39,6 +40,12 @@
   /** Fraction of the requests running at the upstream beside the node that are retries. The same
    * fraction of its inner calls are retries. */
   std::function<double()> retryShare;
+
+  /** Whether the next request to a service is one of those for the new version of a roll-out. */
+  std::function<bool(const std::string& aService)> drawNewVersion;
+
+  /** Versions that a request may be sent to. @param aDrawn drawNewVersion() chose the new one */
+  std::function<VersionRule(const std::string& aService, bool aDrawn)> versionRule;
 };
 
 } // namespace mustardwinch
--- a/src/sidecar/PlatformBinding.h
+++ b/src/sidecar/PlatformBinding.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "mustardwinch/Result.h"
+#include "rollout/StoredRollout.h"
 #include "routing/TrafficConfig.h"
 #include "sidecar/HttpNames.h"
 #include "sidecar/UpstreamAnnouncement.h"
@@ -33,6 +34,8 @@
   /** @param aRest request path after HttpNames::announcePrefix */
   std::function<Result<UpstreamNotice>(const std::string& aRest, const std::string& aBody)>
     decodeNotice;
+  std::function<StoredRollout(const StoredObject& aObject)> decodeRollout;
+  std::function<nlohmann::json(const RolloutStatus& aStatus)> encodeRolloutStatus;
 };
 
 } // namespace mustardwinch
--- a/src/sidecar/SidecarNode.cpp
+++ b/src/sidecar/SidecarNode.cpp
@@ -47,6 +47,7 @@
   , mReload(std::move(aReload))
   , mState(mClock, mBinding, { [this] { OnConfig(); }, [this] { OnEvacuations(); } })
   , mKeys(mSettings.revocation)
+  , mRollouts(mClock, mSettings.rollouts, mBinding, mStore, mSettings.vmName, MakeRolloutDelegate())
   , mGate(aLoop, mClock, mBinding.names, mSettings.cold, MakeGateDelegate())
   , mLinks(aLoop, mClock, Self(), MakeLinkCallbacks())
   , mServer(aLoop, MakeServerHandlers())
@@ -61,6 +62,7 @@
   , mConfigWatcher(aLoop, mClock, mStore, StoredKind::kConfig, ConfigHandlers())
   , mEvacuationWatcher(aLoop, mClock, mStore, StoredKind::kEvacuations, EvacuationHandlers())
   , mMemberWatcher(aLoop, mClock, mStore, StoredKind::kMembers, MemberHandlers(), kMemberWatchGap)
+  , mRolloutWatcher(aLoop, mClock, mStore, StoredKind::kRollouts, RolloutHandlers())
   , mCallers(aLoop,
              mClock,
              [this](const std::shared_ptr<HttpSession>& aSession, HttpRequest aRequest) {
@@ -186,6 +188,7 @@
 void SidecarNode::HandleMetrics(const std::shared_ptr<HttpSession>& aSession, const HttpRequest&)
 {
   std::string text = mIngress.MetricsText() + mGate.MetricsText();
+  text += mRollouts.MetricsText();
   text += "mw_gate_running " + std::to_string(mGate.Running()) + "\n";
   text += "mw_gate_queued " + std::to_string(mGate.Queued()) + "\n";
   text += "mw_gate_trust " + std::to_string(static_cast<int>(mGate.Trust())) + "\n";
@@ -208,6 +211,7 @@
   mRates.Tick();
   mRetryRates.Tick();
   mGate.Tick();
+  mRollouts.Tick();
   mState.Tick();
   ConfirmConfig();
   CheckReadiness();
--- a/src/sidecar/SidecarNode.h
+++ b/src/sidecar/SidecarNode.h
@@ -13,6 +13,7 @@
 #include "sidecar/KeyFreshness.h"
 #include "sidecar/PlatformBinding.h"
 #include "sidecar/RateTokenBroker.h"
+#include "sidecar/RolloutAgent.h"
 #include "sidecar/SidecarSettings.h"
 #include "store/KindWatcher.h"
 #include "store/ObjectStore.h"
@@ -68,6 +69,13 @@
   KindWatcher::Handlers ConfigHandlers();
   KindWatcher::Handlers EvacuationHandlers();
   KindWatcher::Handlers MemberHandlers();
+  KindWatcher::Handlers RolloutHandlers();
+  RolloutAgent::Delegate MakeRolloutDelegate();
+  std::vector<RolloutAgent::Member> RolloutMembers() const;
+  RolloutReport ReportForRollout() const;
+  void OnRolloutChange();
+  /** Fetches the orders of a peer that knows newer ones. */
+  void PullRollouts(PeerLink& aLink, StorePosition aTheirs);
   bool ReachesStore() const;
   /** A reply of the store, or a peer, names the epoch of the store's history. */
   void OnStoreEpoch(std::uint64_t aEpoch);
@@ -110,6 +118,7 @@
   const ReloadFn mReload;
   FleetState mState;
   KeyFreshness mKeys;
+  RolloutAgent mRollouts;
   Gate mGate;
   LinkTable mLinks;
   FleetServer mServer;
@@ -120,6 +129,7 @@
   KindWatcher mConfigWatcher;
   KindWatcher mEvacuationWatcher;
   KindWatcher mMemberWatcher;
+  KindWatcher mRolloutWatcher;
   HttpListener mCallers;
   HttpListener mReadiness;
   HttpListener mControl;
@@ -129,6 +139,7 @@
   boost::asio::steady_timer mTimer;
   PullDecision mConfigPull;
   PullDecision mEvacuationPull;
+  PullDecision mRolloutPull;
   GateView mOwnView;
   std::map<std::string, NodeRetryBudget> mRetries;
   TimePoint mNextCurrencyAsk{};
--- a/src/sidecar/SidecarNodeGates.cpp
+++ b/src/sidecar/SidecarNodeGates.cpp
@@ -46,6 +46,12 @@
     const TrafficService* service = routing ? routing->FindService(aService) : nullptr;
     return service != nullptr ? service->healthPath : std::string();
   };
+  delegate.mayRun = [this](const UpstreamAnnouncement& aUpstream, const std::string& aMeantFor) {
+    return mRollouts.MayRun(aUpstream.service, aUpstream.version, aMeantFor);
+  };
+  delegate.isInUse = [this](const UpstreamAnnouncement& aUpstream) {
+    return mRollouts.IsInUse(aUpstream.service, aUpstream.version);
+  };
   delegate.isEvacuated = [this](const std::string& aDomain) { return mState.IsEvacuated(aDomain); };
   delegate.onStatusChange = [this](bool aForAll) {
     mServer.Broadcast(aForAll ? std::string() : mSettings.failureDomain);
@@ -76,7 +82,9 @@
                             aDone(aVerdict.kind == RateVerdict::Kind::kGranted);
                           });
     },
-    [this] { return mGate.RetryShare(); }
+    [this] { return mGate.RetryShare(); },
+    [this](const std::string& aService) { return mRollouts.DrawTarget(aService); },
+    [this](const std::string& aService, bool aDrawn) { return mRollouts.RuleFor(aService, aDrawn); }
   };
 }
 
@@ -118,6 +126,7 @@
   mOwnView.failureDomain = mSettings.failureDomain;
   mOwnView.self = true;
   mOwnView.service = mGate.State().IsKnown() ? mGate.State().Current().service : std::string();
+  mOwnView.version = mGate.State().IsKnown() ? mGate.State().Current().version : std::string();
   mOwnView.available = mGate.IsAvailable();
   mOwnView.trust = mGate.Trust();
   mOwnView.running = mGate.Running();
--- a/src/sidecar/SidecarNodeLinks.cpp
+++ b/src/sidecar/SidecarNodeLinks.cpp
@@ -33,20 +33,29 @@
                              mState.EvacuationsAt().revision,
                              mLinks.UnheardTags(),
                              mState.EvacuationsAt().epoch,
-                             mStoreEpoch };
+                             mStoreEpoch,
+                             mRollouts.At().revision,
+                             mRollouts.At().epoch };
   };
   callbacks.onStatus = [this](PeerLink& aLink, const GateStatusMessage& aStatus) {
     OnPeerState(aLink,
                 aStatus.configVersion,
                 { aStatus.evacuationsEpoch, aStatus.evacuationsRevision },
                 aStatus.storeEpoch);
+    PullRollouts(aLink, { aStatus.rolloutsEpoch, aStatus.rolloutsRevision });
   };
   callbacks.onCurrency = [this](std::uint64_t aVersion, TimePoint aAsOf) {
     if (mState.ConfigVersion() >= aVersion) {
       mKeys.Confirm(aAsOf);
     }
   };
-  callbacks.onState = [this](const StatePushMessage& aPush) { mState.ApplyPush(aPush); };
+  callbacks.onState = [this](const StatePushMessage& aPush) {
+    if (static_cast<SharedState>(aPush.state) == SharedState::kRollouts) {
+      mRollouts.ApplyPush(aPush);
+    } else {
+      mState.ApplyPush(aPush);
+    }
+  };
   return callbacks;
 }
 
@@ -85,6 +94,7 @@
                   aHeartbeat.configVersion,
                   { aHeartbeat.evacuationsEpoch, aHeartbeat.evacuationsRevision },
                   aHeartbeat.storeEpoch);
+      PullRollouts(*link, { aHeartbeat.rolloutsEpoch, aHeartbeat.rolloutsRevision });
     }
   };
   handlers.takeRate = [this](const RateAskMessage& aAsk, const RateTokenBroker::VerdictFn& aDone) {
@@ -100,7 +110,13 @@
     }
     mRates.Serve(found->organisation, aAsk, aDone);
   };
-  handlers.state = [this](SharedState aState) { return mState.MakePush(aState); };
+  handlers.state = [this](SharedState aState) {
+    return aState == SharedState::kRollouts ? mRollouts.MakePush() : mState.MakePush(aState);
+  };
+  handlers.onRolloutStep = [this](const RolloutStepMessage& aStep) { mRollouts.OnStep(aStep); };
+  handlers.onRolloutReport = [this](const RolloutReportMessage& aReport) {
+    mRollouts.OnReport(aReport);
+  };
   handlers.status = [this] { return Status(); };
   handlers.currency = [this] { return Currency(); };
   return handlers;
@@ -125,6 +141,9 @@
   status.leaving = mGate.State().LeavingInstance();
   status.vm = mSettings.vmName;
   status.reachesStore = ReachesStore();
+  status.version = mGate.State().IsKnown() ? mGate.State().Current().version : std::string();
+  status.rolloutsRevision = mRollouts.At().revision;
+  status.rolloutsEpoch = mRollouts.At().epoch;
   status.service = mGate.State().IsKnown() ? mGate.State().Current().service : std::string();
   const auto age = std::chrono::duration_cast<Milliseconds>(mClock.Now() - mStartTime);
   status.ageMs = static_cast<std::uint32_t>(
--- a/src/sidecar/SidecarNodeStore.cpp
+++ b/src/sidecar/SidecarNodeStore.cpp
@@ -13,6 +13,10 @@
 constexpr Milliseconds kWatcherWait{ 1'300 };
 constexpr Milliseconds kNonWatcherWait{ 30'000 };
 
+/** Wait for orders of roll-outs, of the node that has the watch duty: an order that the store told
+ * nobody costs a part of its time, but nothing waits for it. */
+constexpr Milliseconds kRolloutWait{ 4'000 };
+
 /** Wait of a node whose configuration no peer has confirmed in time. */
 constexpr Milliseconds kConfirmWait{ 200 };
 
@@ -68,6 +72,7 @@
   mConfigWatcher.OnEpoch(aEpoch);
   mEvacuationWatcher.OnEpoch(aEpoch);
   mMemberWatcher.OnEpoch(aEpoch);
+  mRolloutWatcher.OnEpoch(aEpoch);
 }
 
 KindWatcher::Handlers SidecarNode::EvacuationHandlers()
@@ -105,7 +110,7 @@
 
 void SidecarNode::OnStoreReachable(StoredKind aKind, bool aReachable, const std::string& aDetail)
 {
-  constexpr const char* kNames[] = { "config", "evacuations", "members" };
+  constexpr const char* kNames[] = { "config", "evacuations", "members", "rollouts" };
   mReachable[aKind] = aReachable;
   LogEvent(aReachable ? LogLevel::kInfo : LogLevel::kWarn,
            aReachable ? Event::kPlatformBack : Event::kPlatformLost,
@@ -114,6 +119,7 @@
     mConfigWatcher.Wake();
     mEvacuationWatcher.Wake();
     mMemberWatcher.Wake();
+    mRolloutWatcher.Wake();
   }
 }
 
@@ -125,7 +131,7 @@
 
 void SidecarNode::OnEvacuations()
 {
-  mGate.OnEvacuation();
+  mGate.OnRestriction();
   mLinks.Announce();
 }
 
@@ -148,6 +154,10 @@
   mConfigWatcher.Start();
   mEvacuationWatcher.Start();
   mMemberWatcher.Start();
+  if (mRollouts.IsEnabled()) {
+    mRolloutWatcher.SetWait(kNonWatcherWait, Freshness::kMayLag);
+    mRolloutWatcher.Start();
+  }
 }
 
 void SidecarNode::ConfigureWatchers()
@@ -163,6 +173,7 @@
   const Freshness freshness = watcher ? Freshness::kNewest : Freshness::kMayLag;
   mEvacuationWatcher.SetWait(wait, freshness);
   mMemberWatcher.SetWait(kNonWatcherWait, freshness);
+  mRolloutWatcher.SetWait(watcher ? kRolloutWait : kNonWatcherWait, freshness);
   if (mKeys.ShouldAskStore(mClock.Now())) {
     mConfigWatcher.SetWait(kConfirmWait, Freshness::kNewest);
   } else if (watcher && mKeys.IsStrict()) {
--- a/src/sidecar/UpstreamAnnouncement.h
+++ b/src/sidecar/UpstreamAnnouncement.h
@@ -20,6 +20,7 @@
   std::uint64_t processStartMs = 0; //!< start time of the upstream's process, Unix milliseconds
   std::uint64_t sequence = 0;       //!< increases with each announcement of one process
   Milliseconds coldRemaining{ 0 };  //!< remaining time for which it is cold
+  std::string version{};            //!< of its software; empty if it does not tell
 
   bool operator==(const UpstreamAnnouncement&) const = default;
 };
--- a/src/store/EpochObserver.cpp
+++ b/src/store/EpochObserver.cpp
@@ -36,6 +36,7 @@
   };
   store.create = write(aStore.create);
   store.replace = write(aStore.replace);
+  store.putStatus = write(aStore.putStatus);
   store.remove = write(aStore.remove);
   return store;
 }
--- a/src/store/ObjectStore.h
+++ b/src/store/ObjectStore.h
@@ -34,6 +34,9 @@
   /** Replaces an object that still has the given revision. */
   std::function<void(StoredKind aKind, StoredObject aObject, ReplyFn aDone)> replace;
 
+  /** Replaces the status of an object that still has the given revision. */
+  std::function<void(StoredKind aKind, StoredObject aObject, ReplyFn aDone)> putStatus;
+
   /** Removes an object that still has the given revision. */
   std::function<void(StoredKind aKind, StoredObject aObject, ReplyFn aDone)> remove;
 };
--- a/tests/adapter/AnnouncementDecoderTest.cpp
+++ b/tests/adapter/AnnouncementDecoderTest.cpp
@@ -32,7 +32,8 @@
                                                 false,
                                                 1'700'000'000'123,
                                                 4,
-                                                Milliseconds(1'500) });
+                                                Milliseconds(1'500),
+                                                "v1" });
 }
 
 TEST_CASE_FIXTURE(AnnouncementFixture, "DecodeAnnouncement, draining, is told apart from ready")
--- a/tests/sidecar/SidecarFleet.h
+++ b/tests/sidecar/SidecarFleet.h
@@ -33,12 +33,15 @@
       loop; //!< event loop of the node, destroyed with it as a process would be
     std::unique_ptr<SidecarNode> node;
     std::uint64_t sequence = 0;
+    std::string version = "v1"; //!< of the upstream
   };
 
   static constexpr int kNodes = 3;
 
-  explicit SidecarFleet(const RevocationSettings& aRevocation = {})
+  explicit SidecarFleet(const RevocationSettings& aRevocation = {},
+                        const RolloutSettings& aRollouts = {})
     : revocation(aRevocation)
+    , rollouts(aRollouts)
   {
     REQUIRE(store.IsListening());
     store.Put("config", "main", config);
@@ -81,6 +84,7 @@
     member.settings.metrics = FreeAddress();
     member.settings.platform = storeAddress;
     member.settings.revocation = revocation;
+    member.settings.rollouts = rollouts;
     member.upstream = std::make_unique<TestUpstream>(loop, clock, "i-" + number);
     return member;
   }
@@ -158,7 +162,11 @@
     const nlohmann::json body{
       { "address", aMember.upstream->address.ToString() },
       { "born", 1'000 },
-      { "info", { { "service", "booking" }, { "version", "v" }, { "zone", "a" }, { "slots", 4 } } },
+      { "info",
+        { { "service", "booking" },
+          { "version", aMember.version },
+          { "zone", "a" },
+          { "slots", 4 } } },
       { "status", { { "state", aState }, { "seq", ++aMember.sequence }, { "warmupLeftMs", 0 } } },
     };
     const std::string target = "/api/instances/" + aMember.upstream->instance + "/heartbeat";
@@ -196,6 +204,7 @@
   }
 
   const RevocationSettings revocation;
+  const RolloutSettings rollouts;
   boost::asio::io_context loop{ 1 };
   Clock clock;
   const Address storeAddress = FreeAddress();
--- a/tools/soak/StandinStore.cpp
+++ b/tools/soak/StandinStore.cpp
@@ -35,7 +35,13 @@
 
 void StandinStore::Put(const std::string& aKind, const std::string& aName, const json& aSpec)
 {
-  Add(aKind, { { "metadata", { { "name", aName } } }, { "spec", aSpec } }, false);
+  json object{ { "metadata", { { "name", aName } } }, { "spec", aSpec } };
+  const auto found = mContent.kinds[aKind].find(aName);
+  if (found != mContent.kinds[aKind].end()) {
+    object["metadata"] = found->second["metadata"];
+    object["status"] = found->second.value("status", json());
+  }
+  Add(aKind, std::move(object), false);
 }
 
 void StandinStore::Remove(const std::string& aKind, const std::string& aName)
@@ -72,6 +78,16 @@
   }
 }
 
+json StandinStore::Get(const std::string& aKind, const std::string& aName) const
+{
+  const auto kind = mContent.kinds.find(aKind);
+  if (kind == mContent.kinds.end()) {
+    return {};
+  }
+  const auto found = kind->second.find(aName);
+  return found != kind->second.end() ? found->second : json();
+}
+
 std::size_t StandinStore::Count(const std::string& aKind) const
 {
   const auto it = mContent.kinds.find(aKind);
@@ -86,6 +102,9 @@
     mContent.kinds[aKind].erase(name);
   } else {
     aObject["metadata"]["revision"] = mContent.revision;
+    if (!aObject["metadata"].contains("createRev")) {
+      aObject["metadata"]["createRev"] = mContent.revision;
+    }
     mContent.kinds[aKind][name] = aObject;
   }
   mContent.history.push_back({ mContent.revision, aKind, std::move(aObject), aRemoved });
@@ -155,6 +174,12 @@
     Answer(aSession, 409, found->second);
     return;
   }
+  if (found != objects.end()) {
+    json changed = found->second;
+    const char* field = aName.ends_with("/status") ? "status" : "spec";
+    changed[field] = object.value(field, json());
+    object = std::move(changed);
+  }
   Add(aKind, std::move(object), false);
   if (mFault != Fault::kLostReply) {
     Answer(aSession, 200, objects[name]);
--- a/tools/soak/StandinStore.h
+++ b/tools/soak/StandinStore.h
@@ -57,6 +57,8 @@
   std::uint64_t Revision() const { return mContent.revision; }
 
   void SetFault(Fault aFault) { mFault = aFault; }
+  /** An object as it is stored; null if there is none. */
+  nlohmann::json Get(const std::string& aKind, const std::string& aName) const;
   std::size_t Count(const std::string& aKind) const;
   std::uint64_t Calls() const { return mCalls; }
 
