--- a/src/fleet/FleetMessage.h
+++ b/src/fleet/FleetMessage.h
@@ -31,6 +31,7 @@
   kCurrencyReply,
   kRolloutStep,   //!< see RolloutMessage.h
   kRolloutReport, //!< see RolloutMessage.h
+  kCallBodyPart,
 };
 
 /** Kinds of state that nodes hand each other. */
@@ -149,11 +150,12 @@
   std::int32_t priority = 0;
   std::string organisation;
   bool idempotent = false;
-  bool mayWait = false;    //!< may be queued; otherwise it starts at once or is refused
-  bool lastResort = false; //!< run even if the upstream is doubtful
-  bool repeat = false;     //!< it was sent to an upstream before
-  std::string route;       //!< name, for what is counted by route
-  std::string version;     //!< version of the upstream that the ingress has chosen; empty: any
+  bool mayWait = false;        //!< may be queued; otherwise it starts at once or is refused
+  bool lastResort = false;     //!< run even if the upstream is doubtful
+  bool repeat = false;         //!< it was sent to an upstream before
+  std::string route;           //!< name, for what is counted by route
+  std::string version;         //!< version of the upstream that the ingress has chosen; empty: any
+  std::uint64_t bodyBytes = 0; //!< length of a body that follows
   MSGPACK_DEFINE(call,
                  requestId,
                  service,
@@ -171,7 +173,8 @@
                  lastResort,
                  repeat,
                  route,
-                 version)
+                 version,
+                 bodyBytes)
 };
 
 /** The gate's final word on a call. */
@@ -194,7 +197,17 @@
 struct BodyWantedMessage
 {
   std::uint64_t call = 0;
-  MSGPACK_DEFINE(call)
+  bool inParts = false; //!< the gate takes the body in CallBodyPartMessages
+  MSGPACK_DEFINE(call, inParts)
+};
+
+/** A piece of a body; the next one is sent when this one is on its way. */
+struct CallBodyPartMessage
+{
+  std::uint64_t call = 0;
+  std::string body;
+  bool last = false;
+  MSGPACK_DEFINE(call, body, last)
 };
 
 struct CallBodyMessage
--- a/src/fleet/FleetServer.cpp
+++ b/src/fleet/FleetServer.cpp
@@ -90,6 +90,10 @@
     if (auto body = DecodeFleetMessage<CallBodyMessage>(rest)) {
       OnCallBody(aPeer, std::move(*body));
     }
+  } else if (kind == FleetMessage::kCallBodyPart) {
+    if (const auto part = DecodeFleetMessage<CallBodyPartMessage>(rest)) {
+      OnCallBodyPart(aPeer, *part);
+    }
   } else if (kind == FleetMessage::kHeartbeat) {
     if (const auto heartbeat = DecodeFleetMessage<HeartbeatMessage>(rest)) {
       aPeer->heartbeat = *heartbeat;
@@ -104,6 +108,7 @@
     const auto call = cancel ? aPeer->calls.find(cancel->call) : aPeer->calls.end();
     if (call != aPeer->calls.end()) {
       const Ticket ticket = call->second;
+      aPeer->bodies.erase(call->first);
       aPeer->calls.erase(call);
       mHandlers.cancel(ticket);
     }
@@ -160,12 +165,13 @@
     if (const PeerPtr peer = weak.lock()) {
       aResult.call = id;
       peer->calls.erase(id);
+      peer->bodies.erase(id);
       peer->connection->Send(EncodeFleetMessage(FleetMessage::kCallResult, aResult));
     }
   };
   const auto wantBody = [weak, id] {
     if (const PeerPtr peer = weak.lock()) {
-      const BodyWantedMessage wanted{ id };
+      const BodyWantedMessage wanted{ id, true };
       peer->connection->Send(EncodeFleetMessage(FleetMessage::kBodyWanted, wanted));
     }
   };
@@ -183,11 +189,29 @@
   }
 }
 
+void FleetServer::OnCallBodyPart(const PeerPtr& aPeer, const CallBodyPartMessage& aPart)
+{
+  const auto call = aPeer->calls.find(aPart.call);
+  if (call == aPeer->calls.end()) {
+    return;
+  }
+  std::string& body = aPeer->bodies[aPart.call];
+  body += aPart.body;
+  if (!aPart.last) {
+    mHandlers.onBodyPart(call->second);
+    return;
+  }
+  std::string whole = std::move(body);
+  aPeer->bodies.erase(aPart.call);
+  mHandlers.giveBody(call->second, std::move(whole));
+}
+
 void FleetServer::OnClosed(const PeerPtr& aPeer)
 {
   mPeers.erase(aPeer.get());
   const auto calls = std::move(aPeer->calls);
   aPeer->calls.clear();
+  aPeer->bodies.clear();
   for (const auto& [id, ticket] : calls) {
     mHandlers.cancel(ticket);
   }
--- a/src/fleet/FleetServer.h
+++ b/src/fleet/FleetServer.h
@@ -30,6 +30,7 @@
     /** The second function asks the ingress for a body that follows. */
     std::function<Ticket(CallMessage, ResultFn, std::function<void()>)> submit;
     std::function<void(Ticket, std::string aBody)> giveBody;
+    std::function<void(Ticket)> onBodyPart; //!< a part of a body came, and it is not whole
     std::function<void(Ticket)> cancel;
     std::function<void(const HelloMessage&)> onHello;
     std::function<void(const std::string& aVm, const HeartbeatMessage&)> onHeartbeat;
@@ -66,6 +67,7 @@
     GateStatusMessage told; //!< the gate's state as last sent
     HeartbeatMessage heartbeat;
     std::map<std::uint64_t, Ticket> calls;
+    std::map<std::uint64_t, std::string> bodies; //!< received in part
   };
 
   using PeerPtr = std::shared_ptr<Peer>;
@@ -74,6 +76,7 @@
   void Adopt(boost::asio::ip::tcp::socket aSocket);
   void OnFrame(const PeerPtr& aPeer, std::string_view aBody);
   void OnCall(const PeerPtr& aPeer, CallMessage aCall);
+  void OnCallBodyPart(const PeerPtr& aPeer, const CallBodyPartMessage& aPart);
   void OnCallBody(const PeerPtr& aPeer, CallBodyMessage aBody);
   void OnClosed(const PeerPtr& aPeer);
   void SendStatus(const PeerPtr& aPeer);
--- a/src/fleet/FrameConnection.cpp
+++ b/src/fleet/FrameConnection.cpp
@@ -127,6 +127,8 @@
                                self->Close();
                              } else if (!self->mOutput.empty() && self->mOpen) {
                                self->Flush();
+                             } else if (self->mOnDrained && self->mOpen) {
+                               self->mOnDrained();
                              }
                            });
 }
@@ -135,6 +137,7 @@
 {
   const CloseFn onClose = std::exchange(mOnClose, nullptr); // may hold this connection
   const FrameFn onFrame = std::exchange(mOnFrame, nullptr);
+  const CloseFn onDrained = std::exchange(mOnDrained, nullptr);
 }
 
 void FrameConnection::Close()
@@ -151,6 +154,7 @@
       const CloseFn onClose = std::move(self->mOnClose);
       self->mOnClose = nullptr;
       self->mOnFrame = nullptr;
+      self->mOnDrained = nullptr;
       if (onClose) {
         onClose();
       }
--- a/src/fleet/FrameConnection.h
+++ b/src/fleet/FrameConnection.h
@@ -26,6 +26,9 @@
   void Start(FrameFn aOnFrame, CloseFn aOnClose);
 
   void Send(const std::string& aBody);
+
+  /** Called each time that all frames have been handed to the kernel. */
+  void OnDrained(CloseFn aDrained) { mOnDrained = std::move(aDrained); }
   void Close();
   bool IsOpen() const { return mOpen; }
 
@@ -49,6 +52,7 @@
   std::string mOutput;
   FrameFn mOnFrame;
   CloseFn mOnClose;
+  CloseFn mOnDrained;
   bool mOpen = true;
   bool mWriting = false;
 };
--- a/src/fleet/MemberRegistrar.cpp
+++ b/src/fleet/MemberRegistrar.cpp
@@ -104,7 +104,7 @@
 void MemberRegistrar::Write()
 {
   const json spec = MemberSpec(mSelf);
-  if (mWriting || (mOwn && mOwn->spec == spec)) {
+  if (mWriting || mLeft || (mOwn && mOwn->spec == spec)) {
     return;
   }
   mWriting = true;
@@ -144,6 +144,18 @@
   }
 }
 
+void MemberRegistrar::Leave(std::function<void()> aDone)
+{
+  mLeft = true;
+  if (!mOwn) {
+    aDone();
+    return;
+  }
+  const StoredObject object{ mSelf.vm, mOwn->revision, {}, false };
+  mStore.remove(
+    StoredKind::kMembers, object, [done = std::move(aDone)](const StoreReply&) { done(); });
+}
+
 void MemberRegistrar::WriteLater()
 {
   mWriting = true;
--- a/src/fleet/MemberRegistrar.h
+++ b/src/fleet/MemberRegistrar.h
@@ -34,6 +34,11 @@
   void OnList(const std::vector<StoredObject>& aObjects, StorePosition aAt);
   void OnChange(const StoredObject& aObject);
 
+  /** Removes this node's entry, since its VM leaves for good. Called once; aDone follows the
+   * answer.
+   */
+  void Leave(std::function<void()> aDone);
+
   /** Removes entries of nodes that nobody has reached for long. Called about once a second. */
   void Tick();
 
@@ -54,6 +59,7 @@
   std::set<std::string> mRemoving;
   std::uint64_t mEpoch = 0; //!< of the history that the entries are of
   bool mWriting = false;
+  bool mLeft = false;
 };
 
 /** The entry of a node, and back; nothing if another writer left a malformed one. */
--- a/src/fleet/PeerLink.cpp
+++ b/src/fleet/PeerLink.cpp
@@ -175,6 +175,13 @@
       }
     },
     [self = shared_from_this(), weak] { self->OnClosed(weak.lock()); });
+  mConnection->OnDrained([link = weak_from_this(), weak] {
+    const auto self = link.lock();
+    const auto connection = weak.lock();
+    if (self && connection) {
+      self->SendBodyParts(connection);
+    }
+  });
   mConnection->Send(EncodeFleetMessage(FleetMessage::kHello, mSurroundings.hello(mMember.vm)));
   Announce();
 }
@@ -194,7 +201,7 @@
   mLastHeartbeat = std::move(heartbeat);
 }
 
-bool PeerLink::Call(CallMessage aCall, ResultFn aDone, std::uint64_t& aId)
+bool PeerLink::Call(CallMessage aCall, SharedText aBody, ResultFn aDone, std::uint64_t& aId)
 {
   if (!IsUp()) {
     return false;
@@ -202,10 +209,11 @@
   aId = mNext++;
   aCall.call = aId;
   Pending pending{ std::move(aDone), mConnection, {} };
-  if (aCall.body.size() >= kLargeBody) {
-    pending.body = std::move(aCall.body);
-    aCall.body.clear();
+  if (aBody.size() >= kLargeBody) {
+    pending.body = std::move(aBody);
     aCall.bodyFollows = true;
+  } else {
+    aCall.body = aBody.Text();
   }
   mPending.emplace(aId, std::move(pending));
   ++mView.outstanding;
@@ -283,7 +291,7 @@
   mView.outstanding -=
     std::min<std::uint32_t>(mView.outstanding, static_cast<std::uint32_t>(lost.size()));
   for (const Pending& it : lost) {
-    it.done(LostCall{ it.body.empty() });
+    it.done(LostCall{ it.body.empty() || it.bodyBegun });
   }
 }
 
--- a/src/fleet/PeerLink.h
+++ b/src/fleet/PeerLink.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/SharedText.h"
 #include "fleet/FleetMessage.h"
 #include "fleet/FrameConnection.h"
 #include "fleet/MemberInfo.h"
@@ -61,7 +62,7 @@
    * Sends a call, a large body only when the gate has a place for it. False if there is no
    * connection; aDone is then never called.
    */
-  bool Call(CallMessage aCall, ResultFn aDone, std::uint64_t& aId);
+  bool Call(CallMessage aCall, SharedText aBody, ResultFn aDone, std::uint64_t& aId);
   void Cancel(std::uint64_t aId);
 
   /** Asks for a token; false if there is no connection that is trusted. */
@@ -116,14 +117,20 @@
   {
     ResultFn done;
     std::shared_ptr<FrameConnection> connection;
-    std::string body; //!< not sent yet
+    SharedText body;        //!< not sent whole yet
+    std::size_t sent = 0;   //!< bytes of the body
+    bool inParts = false;   //!< the gate wants the body in parts
+    bool bodyBegun = false; //!< the gate has asked for the body, and may start the request
   };
 
   void Dial();
   void OnDialled(std::shared_ptr<FrameConnection> aConnection);
   void OnFrame(const std::shared_ptr<FrameConnection>& aConnection, std::string_view aBody);
   void OnResult(CallResultMessage aResult);
-  void OnBodyWanted(std::uint64_t aCall);
+  void OnBodyWanted(const BodyWantedMessage& aWanted);
+
+  /** Sends the next part of each body on a connection that has room. */
+  void SendBodyParts(const std::shared_ptr<FrameConnection>& aConnection);
   void OnStatus(const GateStatusMessage& aStatus);
   void OnCurrency(const CurrencyReplyMessage& aReply);
   void OnOtherNode(const std::string& aVm);
--- a/src/fleet/PeerLinkFrames.cpp
+++ b/src/fleet/PeerLinkFrames.cpp
@@ -5,6 +5,12 @@
 #include <utility>
 
 namespace mustardwinch {
+namespace {
+
+/** Other frames, such as heartbeats, wait for no more than this on a link of 10 Mbit/s: 50 ms. */
+constexpr std::size_t kBodyPartBytes = 64U << 10;
+
+} // namespace
 
 // What the peer tells: results of calls, its state, verdicts and shared state.
 
@@ -22,7 +28,7 @@
     }
   } else if (kind == FleetMessage::kBodyWanted) {
     if (const auto wanted = DecodeFleetMessage<BodyWantedMessage>(rest)) {
-      OnBodyWanted(wanted->call);
+      OnBodyWanted(*wanted);
     }
   } else if (kind == FleetMessage::kGateStatus) {
     if (const auto status = DecodeFleetMessage<GateStatusMessage>(rest)) {
@@ -68,16 +74,42 @@
   pending.mapped().done(std::move(aResult));
 }
 
-void PeerLink::OnBodyWanted(std::uint64_t aCall)
+void PeerLink::OnBodyWanted(const BodyWantedMessage& aWanted)
 {
-  const auto it = mPending.find(aCall);
+  const auto it = mPending.find(aWanted.call);
   if (it == mPending.end()) {
     return; // it was cancelled, and the gate has been told
   }
-  const CallBodyMessage body{ aCall, std::exchange(it->second.body, {}) };
+  it->second.bodyBegun = true;
+  if (aWanted.inParts) {
+    it->second.inParts = true;
+    SendBodyParts(it->second.connection);
+    return;
+  }
+  const CallBodyMessage body{ aWanted.call, it->second.body };
+  it->second.body = {};
   it->second.connection->Send(EncodeFleetMessage(FleetMessage::kCallBody, body));
 }
 
+void PeerLink::SendBodyParts(const std::shared_ptr<FrameConnection>& aConnection)
+{
+  if (aConnection->IsSending()) {
+    return; // it tells when it has room
+  }
+  for (auto& [id, pending] : mPending) {
+    if (!pending.inParts || pending.body.empty() || pending.connection != aConnection) {
+      continue;
+    }
+    CallBodyPartMessage part{ id, pending.body.Text().substr(pending.sent, kBodyPartBytes) };
+    pending.sent += part.body.size();
+    part.last = pending.sent == pending.body.size();
+    if (part.last) {
+      pending.body = {};
+    }
+    aConnection->Send(EncodeFleetMessage(FleetMessage::kCallBodyPart, part));
+  }
+}
+
 /** The peer answered after the request was sent, so its age counts from then: how long the reply
  * was on its way is not known. */
 void PeerLink::OnCurrency(const CurrencyReplyMessage& aReply)
--- a/src/http/HttpChannel.cpp
+++ b/src/http/HttpChannel.cpp
@@ -113,7 +113,8 @@
                            std::size_t aMaxBody,
                            bool aHead,
                            AcceptFn aAccept,
-                           DoneFn aDone)
+                           DoneFn aDone,
+                           SharedText aBody)
 {
   mMaxBody = aMaxBody;
   mHead = aHead;
@@ -126,23 +127,26 @@
   NewParser();
   mWriting = true;
   auto bytes = std::make_shared<std::string>(std::move(aBytes));
-  boost::asio::async_write(mSocket,
-                           boost::asio::buffer(*bytes),
-                           [hold = OperationHold(shared_from_this()),
-                            bytes](const boost::system::error_code& aError, std::size_t) mutable {
-                             const auto self = hold.Take();
-                             self->mWriting = false;
-                             self->mWriteError = aError;
-                             if (std::exchange(self->mEndSeen, false)) {
-                               self->OnEnd();
-                               return;
-                             }
-                             // An answer that came before the end of the request is still read
-                             // after a failed write.
-                             if (aError && !self->mReading) {
-                               self->Finish(aError, false);
-                             }
-                           });
+  const std::array<boost::asio::const_buffer, 2> parts{ boost::asio::buffer(*bytes),
+                                                        boost::asio::buffer(aBody.Text()) };
+  boost::asio::async_write(
+    mSocket,
+    parts,
+    [hold = OperationHold(shared_from_this()), bytes, body = std::move(aBody)](
+      const boost::system::error_code& aError, std::size_t) mutable {
+      const auto self = hold.Take();
+      self->mWriting = false;
+      self->mWriteError = aError;
+      if (std::exchange(self->mEndSeen, false)) {
+        self->OnEnd();
+        return;
+      }
+      // An answer that came before the end of the request is still read
+      // after a failed write.
+      if (aError && !self->mReading) {
+        self->Finish(aError, false);
+      }
+    });
   Read();
 }
 
--- a/src/http/HttpChannel.h
+++ b/src/http/HttpChannel.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/SharedText.h"
 #include "http/ByteBudget.h"
 #include "http/HttpAnswer.h"
 #include "http/HttpChannelResult.h"
@@ -36,12 +37,18 @@
 
   void Connect(const Address& aAddress, ConnectFn aDone);
 
-  /** Sends a request in wire form and reads its answer. @param aHead no body is expected */
+  /**
+   * Sends a request in wire form and reads its answer.
+   *
+   * @param aHead no body is expected
+   * @param aBody sent behind aBytes without a copy
+   */
   void Exchange(std::string aBytes,
                 std::size_t aMaxBody,
                 bool aHead,
                 AcceptFn aAccept,
-                DoneFn aDone);
+                DoneFn aDone,
+                SharedText aBody = {});
 
   void Close();
   bool IsOpen() const { return mOpen; }
--- a/src/http/HttpRequest.h
+++ b/src/http/HttpRequest.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/SharedText.h"
 #include "gate/HttpHeader.h"
 
 #include <string>
@@ -12,7 +13,7 @@
   std::string method;
   std::string target; //!< path and query as they came
   HttpHeaders headers;
-  std::string body;
+  SharedText body;
 
   bool operator==(const HttpRequest&) const = default;
 };
--- a/src/http/HttpRequestParser.cpp
+++ b/src/http/HttpRequestParser.cpp
@@ -1,5 +1,7 @@
 #include "http/HttpRequestParser.h"
 
+#include "http/MemoryBudget.h"
+
 #include <boost/asio/buffer.hpp>
 
 #include <algorithm>
@@ -21,6 +23,17 @@
   return HttpRequestParser::State::kMalformed;
 }
 
+HttpRequest HeadOf(const http::request<http::string_body>& aMessage)
+{
+  HttpRequest request;
+  request.method = std::string(aMessage.method_string());
+  request.target = std::string(aMessage.target());
+  for (const auto& it : aMessage) {
+    request.headers.push_back({ std::string(it.name_string()), std::string(it.value()) });
+  }
+  return request;
+}
+
 } // namespace
 
 HttpRequestParser::HttpRequestParser(const HttpLimits& aLimits)
@@ -55,15 +68,38 @@
   return it != mParser.get().end() && boost::beast::iequals(it->value(), "100-continue");
 }
 
+HttpRequest HttpRequestParser::Head() const
+{
+  return HeadOf(mParser.get());
+}
+
+std::size_t HttpRequestParser::AnnouncedBytes() const
+{
+  const auto length = mParser.content_length();
+  const bool isLarge = length && *length > MemoryBudget::kSmallHolding;
+  return isLarge ? static_cast<std::size_t>(*length) : 0;
+}
+
+/** A field takes an entry here and two strings in the request, however short it is. */
+std::size_t HttpRequestParser::HeadBytes() const
+{
+  constexpr std::size_t kFieldBytes = 160;
+  std::size_t n = mParser.get().target().size();
+  for (const auto& it : mParser.get()) {
+    n += kFieldBytes + it.name_string().size() + it.value().size();
+  }
+  return n;
+}
+
+std::size_t HttpRequestParser::HeldBytes(std::size_t aReserved) const
+{
+  return HeadDone() ? HeadBytes() + std::max(aReserved, mParser.get().body().size()) : 0;
+}
+
 HttpRequest HttpRequestParser::Take()
 {
   auto message = mParser.release();
-  HttpRequest request;
-  request.method = std::string(message.method_string());
-  request.target = std::string(message.target());
-  for (const auto& it : message) {
-    request.headers.push_back({ std::string(it.name_string()), std::string(it.value()) });
-  }
+  HttpRequest request = HeadOf(message);
   request.body = std::move(message.body());
   return request;
 }
--- a/src/http/HttpRequestParser.h
+++ b/src/http/HttpRequestParser.h
@@ -33,10 +33,21 @@
   bool ExpectsContinue() const;
   bool KeepAlive() const { return mParser.get().keep_alive(); }
 
+  /** The request without its body; valid after HeadDone(). */
+  HttpRequest Head() const;
+
+  /** Length of the body as the head tells it; 0 if it does not, or if the body is short. */
+  std::size_t AnnouncedBytes() const;
+
+  /** Memory that the parsed part takes. @param aReserved bytes that a body takes at least */
+  std::size_t HeldBytes(std::size_t aReserved) const;
+
   /** The request; valid after kDone, once. */
   HttpRequest Take();
 
 private:
+  std::size_t HeadBytes() const;
+
   boost::beast::http::request_parser<boost::beast::http::string_body> mParser;
 };
 
--- a/src/http/HttpSession.cpp
+++ b/src/http/HttpSession.cpp
@@ -4,8 +4,8 @@
 #include "http/HttpRequestParser.h"
 #include "http/HttpText.h"
 
-#include <boost/asio/write.hpp>
-
+#include <algorithm>
+#include <array>
 #include <utility>
 
 namespace mustardwinch {
@@ -13,13 +13,20 @@
 
 constexpr const char* kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 
+/** A request that waits longer than this for memory is refused. */
+constexpr Milliseconds kMaxStarvation{ 1'500 };
+
+constexpr const char* kRetryAfterMemory = "1"; // seconds; stalled bodies are ended sooner
+
 } // namespace
 
 HttpSession::HttpSession(Socket aSocket, HttpListener& aListener)
   : mSocket(std::move(aSocket))
   , mListener(&aListener)
-  , mParser(std::make_unique<HttpRequestParser>(aListener.mLimits))
+  , mHolding(aListener.mShared.memory)
+  , mParser(std::make_unique<HttpRequestParser>(aListener.EffectiveLimits()))
   , mSince(aListener.mClock.Now())
+  , mProgress(mSince)
 {
   mListener->mSessions.insert(this);
 }
@@ -45,34 +52,67 @@
 {
   boost::system::error_code ec;
   mSocket.set_option(boost::asio::ip::tcp::no_delay(true),
-                     ec); // only delays small answers if it fails
+                     ec);         // only delays small answers if it fails
+  mSocket.non_blocking(true, ec); // a socket that cannot be set fails its first read
   Read();
 }
 
+/** Bytes that are held for the caller now. */
+std::size_t HttpSession::CountHeld() const
+{
+  const std::size_t request = mBusy ? mRequestBytes : mParser->HeldBytes(mReservedBytes);
+  return mInput.size() + request + mOutput.size() + mSending.size();
+}
+
+/** Whether there is memory for the next bytes. */
+bool HttpSession::MayRead()
+{
+  // Bytes of a body whose length was announced are reserved already.
+  const std::size_t next = mReservedBytes != 0 ? CountHeld() : CountHeld() + kReadBytes / 4;
+  if (mHolding.TrySet(next) || (mListener->MakeRoom(*this, next) && mHolding.TrySet(next))) {
+    mStarved = false;
+    return true;
+  }
+  if (!mStarved) {
+    mStarved = true;
+    mStarvedSince = mListener->mClock.Now();
+  }
+  return false;
+}
+
 void HttpSession::Read()
 {
-  if (mClosed || mReading || mInput.size() > kMaxAheadBytes) {
+  if (mClosed || mReading || mListener == nullptr || (mBusy && mInput.size() > kMaxAheadBytes)) {
     return;
   }
+  if (!mClosing && !MayRead()) {
+    return; // RetryRead() goes on
+  }
   mReading = true;
-  mSocket.async_read_some(
-    boost::asio::buffer(mChunk),
-    [self = shared_from_this()](const boost::system::error_code& aError, std::size_t aCount) {
-      self->mReading = false;
-      self->OnRead(aError, aCount);
-    });
+  // Waits without a buffer: most connections are idle.
+  mSocket.async_wait(Socket::wait_read,
+                     [self = shared_from_this()](const boost::system::error_code& aError) {
+                       self->mReading = false;
+                       self->OnReadable(aError);
+                     });
 }
 
-void HttpSession::OnRead(const boost::system::error_code& aError, std::size_t aCount)
+void HttpSession::OnReadable(const boost::system::error_code& aError)
 {
-  if (mClosed) {
+  if (mClosed || mListener == nullptr) {
     return;
   }
-  if (aError) {
+  thread_local std::array<char, kReadBytes> buf; // the bytes are copied before anyone else reads
+  boost::system::error_code ec = aError;
+  const std::size_t n = ec ? 0 : mSocket.read_some(boost::asio::buffer(buf), ec);
+  if (ec && ec != boost::asio::error::would_block) {
     Leave();
     return;
   }
-  mInput.append(mChunk.data(), aCount);
+  if (n != 0) {
+    mProgress = mListener->mClock.Now();
+    mInput.append(buf.data(), n);
+  }
   if (!mBusy) {
     Parse();
   }
@@ -90,10 +130,13 @@
   }
   if (!mBegun) {
     mBegun = true;
+    mAdmitted = false;
     mSince = mListener->mClock.Now();
-    mParser = std::make_unique<HttpRequestParser>(mListener->mLimits);
+    mParser = std::make_unique<HttpRequestParser>(mListener->EffectiveLimits());
   }
-  switch (mParser->Put(mInput)) {
+  const HttpRequestParser::State state = mParser->Put(mInput);
+  mHolding.Set(CountHeld());
+  switch (state) {
     case HttpRequestParser::State::kDone:
       Dispatch();
       return;
@@ -109,18 +152,43 @@
     case HttpRequestParser::State::kNeedsMore:
       break;
   }
+  if (mParser->HeadDone() && !mAdmitted && !AdmitBody()) {
+    return;
+  }
   if (mParser->HeadDone() && !mContinued && mParser->ExpectsContinue()) {
     mContinued = true;
     Write(kContinue);
   }
 }
 
+/** The head decides before the body is read. False if the request was refused. */
+bool HttpSession::AdmitBody()
+{
+  mAdmitted = true;
+  if (mListener->mHeadCheck) {
+    const HttpRequest head = mParser->Head();
+    if (const auto refusal = mListener->mHeadCheck(head)) {
+      mBusy = true;
+      mClosing = true;
+      Answer(*refusal);
+      return false;
+    }
+  }
+  // The length that was announced is held from now on: bodies that fill the memory together would
+  // wait for each other.
+  mReservedBytes = mParser->AnnouncedBytes();
+  return true;
+}
+
 void HttpSession::Dispatch()
 {
   mBusy = true;
   mClosing = mClosing || !mParser->KeepAlive();
+  mRequestBytes = mParser->HeldBytes(0);
+  mReservedBytes = 0;
   HttpRequest request = mParser->Take();
   mHead = request.method == "HEAD";
+  mHolding.Set(CountHeld());
   mListener->mHandler(shared_from_this(), std::move(request));
 }
 
@@ -131,51 +199,105 @@
   Answer(MakeTextAnswer(aStatus, aText));
 }
 
+void HttpSession::RefuseForMemory()
+{
+  HttpAnswer answer = MakeTextAnswer(503, "no memory for the request");
+  answer.headers.push_back({ "Retry-After", kRetryAfterMemory });
+  mBusy = true;
+  mClosing = true;
+  Answer(answer);
+}
+
+void HttpSession::Evict()
+{
+  const bool mayAnswer = IsReceiving() && !IsSending();
+  if (!mayAnswer) {
+    Leave();
+    return;
+  }
+  RefuseForMemory();
+}
+
+void HttpSession::RetryRead(TimePoint aNow)
+{
+  if (!IsStarved()) {
+    return;
+  }
+  Read();
+  if (!IsStarved() || aNow - mStarvedSince < kMaxStarvation) {
+    return;
+  }
+  mListener->NoteRefusal("memory");
+  Evict();
+}
+
 void HttpSession::Answer(const HttpAnswer& aAnswer)
 {
   mGone = nullptr;
-  if (mClosed || !mBusy) {
+  if (mClosed || !mBusy || mListener == nullptr) {
     return;
   }
   mClosing = mClosing || mListener->mStopping;
   mBusy = false;
   mBegun = false;
   mContinued = false;
+  mStarved = false;
+  mRequestBytes = 0;
+  mReservedBytes = 0;
+  mParser = std::make_unique<HttpRequestParser>(mListener->EffectiveLimits());
+  if (mClosing) {
+    mInput = std::string(); // what the caller still sends is dropped
+  }
   mSince = mListener->mClock.Now();
+  mProgress = mSince;
   Write(FormatAnswer(aAnswer, mClosing, mHead));
 }
 
 void HttpSession::Write(const std::string& aBytes)
 {
   mOutput += aBytes;
+  mHolding.Set(CountHeld());
   if (!mWriting) {
     Flush();
   }
+  mListener->RelieveMemory();
 }
 
 void HttpSession::Flush()
 {
   mWriting = true;
-  auto bytes = std::make_shared<std::string>(std::move(mOutput));
-  mOutput.clear();
-  boost::asio::async_write(
-    mSocket,
-    boost::asio::buffer(*bytes),
-    [self = shared_from_this(), bytes](const boost::system::error_code& aError, std::size_t) {
+  mSending = std::exchange(mOutput, {});
+  mSent = 0;
+  WriteSome();
+}
+
+void HttpSession::WriteSome()
+{
+  mSocket.async_write_some(
+    boost::asio::buffer(mSending.data() + mSent, mSending.size() - mSent),
+    [self = shared_from_this()](const boost::system::error_code& aError, std::size_t aCount) {
+      if (self->mClosed || self->mListener == nullptr) {
+        return;
+      }
+      if (aError) {
+        self->Leave();
+        return;
+      }
+      self->mSent += aCount;
+      self->mProgress = self->mListener->mClock.Now();
+      if (self->mSent < self->mSending.size()) {
+        self->WriteSome();
+        return;
+      }
       self->mWriting = false;
-      self->OnWritten(aError);
+      self->mSending = std::string();
+      self->mHolding.Set(self->CountHeld());
+      self->OnWritten();
     });
 }
 
-void HttpSession::OnWritten(const boost::system::error_code& aError)
+void HttpSession::OnWritten()
 {
-  if (mClosed) {
-    return;
-  }
-  if (aError) {
-    Leave();
-    return;
-  }
   if (!mOutput.empty()) {
     Flush();
     return;
@@ -185,6 +307,7 @@
   }
   if (mBegun) { // an interim answer went out
     Parse();
+    Read();
     return;
   }
   if (mClosing) {
@@ -193,6 +316,7 @@
     boost::system::error_code ec;
     mSocket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ec); // gone already if it fails
     mInput.clear();
+    Read();
     return;
   }
   Parse();
@@ -204,12 +328,14 @@
   if (mBusy || mClosed) {
     return;
   }
-  const Duration waited = aNow - mSince;
-  if (mBegun && !mParser->HeadDone() && waited > mListener->mLimits.headerTimeout) {
+  const HttpLimits& limits = mListener->mLimits;
+  if (mBegun && !mParser->HeadDone() && aNow - mSince > limits.headerTimeout) {
     Refuse(408, "the head of the request took too long");
     return;
   }
-  if (waited > mListener->mLimits.idleTimeout) {
+  // A large body on a slow link takes longer than a connection may be idle.
+  const TimePoint since = mClosing ? mSince : std::max(mSince, mProgress);
+  if (aNow - since > limits.idleTimeout) {
     Close();
   }
 }
@@ -232,6 +358,12 @@
   mClosed = true;
   boost::system::error_code ec;
   mSocket.close(ec); // nothing is left to do for a socket that cannot be closed
+  if (!mBusy) {
+    mParser = std::make_unique<HttpRequestParser>(HttpLimits{});
+  }
+  mInput = std::string();
+  mOutput = std::string();
+  mHolding.Set(mBusy ? mRequestBytes : 0);
 }
 
 } // namespace mustardwinch
--- a/src/http/HttpText.cpp
+++ b/src/http/HttpText.cpp
@@ -44,6 +44,11 @@
 }
 
 std::string FormatRequest(const HttpRequest& aRequest, std::string_view aHost)
+{
+  return FormatRequestHead(aRequest, aHost) + aRequest.body.Text();
+}
+
+std::string FormatRequestHead(const HttpRequest& aRequest, std::string_view aHost)
 {
   std::string out = aRequest.method + " " + aRequest.target + " HTTP/1.1\r\n";
   if (FindHeader(aRequest.headers, "Host") == nullptr) {
@@ -58,7 +63,6 @@
     out += "Content-Length: " + std::to_string(aRequest.body.size()) + "\r\n";
   }
   out += "\r\n";
-  out += aRequest.body;
   return out;
 }
 
--- a/src/rollout/RolloutTable.cpp
+++ b/src/rollout/RolloutTable.cpp
@@ -88,8 +88,7 @@
 {
   const auto state = aEntry.stored.State();
   const bool isFinal = state && state != RolloutState::kRunning;
-  return aEntry.removed || isFinal ||
-         (aEntry.step && aEntry.step->phase >= RolloutPhase::kNewOnly);
+  return aEntry.removed || isFinal || (aEntry.step && aEntry.step->phase >= RolloutPhase::kNewOnly);
 }
 
 RolloutTable::Use RolloutTable::UseOf(const Entry& aEntry, TimePoint aNow) const
@@ -127,7 +126,7 @@
     return false;
   }
   Entry& entry = it->second;
-  entry.position += kGoldenStep;
+  entry.position = entry.position < 0 ? mFirstPosition : entry.position + kGoldenStep;
   entry.position -= entry.position >= 1 ? 1 : 0;
   return entry.position < entry.step->share;
 }
--- a/src/rollout/RolloutTable.h
+++ b/src/rollout/RolloutTable.h
@@ -26,6 +26,13 @@
 class RolloutTable
 {
 public:
+  /** @param aFirstPosition differs between nodes: in step, each would wait for its first request of
+   * a small share equally long */
+  explicit RolloutTable(double aFirstPosition = 0.5)
+    : mFirstPosition(aFirstPosition)
+  {
+  }
+
   /** All orders as of a position of the store. Earlier positions are ignored. */
   bool SetAll(const std::vector<StoredRollout>& aRollouts, StorePosition aAt, TimePoint aNow);
 
@@ -77,8 +84,9 @@
     bool removed = false;
     TimePoint begin{};
     std::optional<RolloutStep> step;
-    TimePoint heard{};     //!< when the step was last told
-    double position = 0.5; //!< of the next request in the split, see DrawTarget()
+    TimePoint heard{}; //!< when the step was last told
+    double position =
+      -1; //!< below 0: not drawn yet; of the next request in the split, see DrawTarget()
   };
 
   /** How the versions of a service are used now. */
@@ -95,6 +103,7 @@
   Use UseOf(const Entry& aEntry, TimePoint aNow) const;
   const Entry* FindEntry(const std::string& aService) const;
 
+  const double mFirstPosition;
   std::map<std::string, Entry> mEntries; //!< by service
   StorePosition mAt;
   bool mKnown = false;
--- a/src/sidecar/CallCodec.cpp
+++ b/src/sidecar/CallCodec.cpp
@@ -58,7 +58,7 @@
   message.method = aCall.request.method;
   message.target = aCall.request.target;
   message.headers = ToMessages(aCall.request.headers);
-  message.body = aCall.request.body;
+  message.bodyBytes = aCall.request.body.size();
   message.remainingMs = static_cast<std::uint32_t>(aCall.remaining.count());
   message.latencyTargetMs = static_cast<std::uint32_t>(aCall.latencyTarget.count());
   message.priority = aCall.priority;
@@ -93,6 +93,7 @@
   call.bodyFollows = aMessage.bodyFollows;
   call.route = std::move(aMessage.route);
   call.version = std::move(aMessage.version);
+  call.bodyBytes = aMessage.bodyBytes;
   return call;
 }
 
--- a/src/sidecar/Exchange.cpp
+++ b/src/sidecar/Exchange.cpp
@@ -3,6 +3,7 @@
 #include "http/HttpText.h"
 #include "ingress/ForwardHeaders.h"
 #include "mustardwinch/Event.h"
+#include "sidecar/RouteMatch.h"
 
 #include <algorithm>
 #include <array>
@@ -90,23 +91,15 @@
 
 bool Exchange::FindRoute()
 {
-  const std::string_view host = HeaderValue(mRequest.headers, "Host");
-  mRoute = mRouting->FindRoute(host, mRequest.target);
-  if (mRoute == nullptr) {
-    Fail(404, "no-route", Milliseconds(0));
+  const RouteMatch match =
+    MatchRequest(*mRouting, mServices.names, mRequest, mServices.mayAcceptKeys());
+  mRoute = match.route;
+  mOrganisation = match.organisation;
+  if (match.refusal != 0) {
+    Fail(match.refusal, match.why, match.refusal == 503 ? kDefaultRetryAfter : Milliseconds(0));
     return false;
   }
   const std::string key(HeaderValue(mRequest.headers, mServices.names.key));
-  const bool keyed = !mRouting->Config().organisations.empty() && !mRoute->allowAnonymous;
-  if (keyed && !key.empty() && !mServices.mayAcceptKeys()) {
-    Fail(503, "configuration-unconfirmed", kDefaultRetryAfter);
-    return false;
-  }
-  mOrganisation = key.empty() ? nullptr : mRouting->FindOrganisationByKey(key);
-  if (keyed && mOrganisation == nullptr) {
-    Fail(401, key.empty() ? "key-missing" : "key-unknown", Milliseconds(0));
-    return false;
-  }
   const auto callerTimeout =
     ParseMilliseconds(HeaderValue(mRequest.headers, mServices.names.remaining));
   mDeadline = mStartTime + std::min(mRoute->timeout, callerTimeout.value_or(mRoute->timeout));
@@ -138,11 +131,7 @@
     if (aError || self->mEnded) {
       return;
     }
-    if (self->mFailedAnswer) {
-      self->Deliver(*self->mFailedAnswer, "upstream-failure");
-    } else {
-      self->Fail(504, "deadline", Milliseconds(0));
-    }
+    self->OnDeadline();
   });
   if (!mRoute->idempotent || mRoute->latencyTarget.count() == 0) {
     return;
@@ -156,6 +145,19 @@
   });
 }
 
+void Exchange::OnDeadline()
+{
+  if (mFailedAnswer) {
+    Deliver(*mFailedAnswer, "upstream-failure");
+    return;
+  }
+  // A request that no gate has, and none may have started, can be sent again by its caller.
+  const bool certainlyNotRun = !mMayHaveRun && mSent == 0 && mAttempts.empty();
+  Fail(certainlyNotRun ? 503 : 504,
+       "deadline",
+       certainlyNotRun ? std::max(mExpectedWait, kDefaultRetryAfter) : Milliseconds(0));
+}
+
 void Exchange::AcquireRateToken(bool aMayWait)
 {
   if (mOrganisation == nullptr || mOrganisation->organisation.ratePerSecond <= 0) {
--- a/src/sidecar/Exchange.h
+++ b/src/sidecar/Exchange.h
@@ -55,6 +55,7 @@
   void ChargeInnerCallOfRetry();
   void StartTimers();
   void OnHedgeTimer();
+  void OnDeadline();
 
   /** Submits the request to the best gate; answers the caller if no gate accepts it. */
   void Place();
--- a/src/sidecar/Gate.cpp
+++ b/src/sidecar/Gate.cpp
@@ -24,6 +24,9 @@
 constexpr double kTargetWaitShare = 0.4;
 constexpr Milliseconds kMinQueueTime{ 150 };
 
+/** Stalled bodies are ended after about this time. */
+constexpr Milliseconds kMemoryWait{ 1'000 };
+
 /** An upstream is slow in its first seconds, also if it is not cold. */
 constexpr Milliseconds kSettlingTime{ 1'500 };
 
@@ -40,14 +43,17 @@
            Clock& aClock,
            HttpNames aNames,
            const ColdSettings& aCold,
-           Delegate aDelegate)
+           Delegate aDelegate,
+           std::shared_ptr<MemoryBudget> aMemory)
   : mLoop(aLoop)
   , mClock(aClock)
   , mNames(std::move(aNames))
   , mCold(aCold)
   , mDelegate(std::move(aDelegate))
   , mWarmth(aLoop, aClock, mNames, [this](const auto& aReply) { OnWarmth(aReply); })
-  , mAnswerBytes(std::make_shared<ByteBudget>(kMaxAnswersBytes))
+  , mMemory(std::move(aMemory))
+  , mAnswerBytes(std::make_shared<ByteBudget>(
+      mMemory ? std::min(kMaxAnswersBytes, mMemory->Limit() * 2 / 5) : kMaxAnswersBytes))
   , mSmoothedAnswerMs(kInitialAnswerMs)
 {
 }
@@ -60,6 +66,12 @@
          (!mDelegate.isInUse || mDelegate.isInUse(mState.Current()));
 }
 
+bool Gate::HasLostUpstream() const
+{
+  return mState.IsKnown() && (!mState.IsAvailable() || mClock.Now() < mDownUntil ||
+                              (mDelegate.isInUse && !mDelegate.isInUse(mState.Current())));
+}
+
 bool Gate::IsWarm() const
 {
   const TimePoint now = mClock.Now();
@@ -246,6 +258,10 @@
   }
   const TimePoint now = mClock.Now();
   const TimePoint deadline = now + aCall.remaining;
+  if (aCall.bodyFollows && !MemoryHolding(mMemory).TrySet(aCall.bodyBytes)) {
+    Refuse(aDone, ResultCode::kGateNoMemory, kMemoryWait);
+    return ticket;
+  }
   if (mQueue.Size() == 0 && CanStartNow(aCall)) {
     Start(ticket, { std::move(aCall), std::move(aDone), std::move(aWantBody), deadline });
     return ticket;
--- a/src/sidecar/Gate.h
+++ b/src/sidecar/Gate.h
@@ -3,6 +3,7 @@
 #include "health/LatencyHistograms.h"
 #include "http/ByteBudget.h"
 #include "http/HttpChannel.h"
+#include "http/MemoryBudget.h"
 #include "mustardwinch/Clock.h"
 #include "placement/StartRateLimit.h"
 #include "placement/UpstreamHealth.h"
@@ -64,7 +65,8 @@
        Clock& aClock,
        HttpNames aNames,
        const ColdSettings& aCold,
-       Delegate aDelegate);
+       Delegate aDelegate,
+       std::shared_ptr<MemoryBudget> aMemory = nullptr);
 
   void Announce(const UpstreamAnnouncement& aAnnouncement);
   void Leave(const std::string& aInstance, std::uint64_t aProcessStartMs);
@@ -81,6 +83,9 @@
   /** Supplies the body of a request that has been assigned a slot. */
   void ProvideBody(Ticket aTicket, std::string aBody);
 
+  /** A part of the body has come: the rest is awaited anew. */
+  void OnBodyPart(Ticket aTicket);
+
   /** Cancels a request whose result is no longer needed: a queued request is dropped, a running
    * idempotent one is aborted.
    */
@@ -96,6 +101,9 @@
   /** Refuses queued requests that an evacuation or a roll-out no longer lets start. */
   void OnRestriction();
 
+  /** The upstream has left or is given up, and none has taken its place. */
+  bool HasLostUpstream() const;
+
   /** The upstream is available, not cold, and has not just started. */
   bool IsWarm() const;
 
@@ -131,6 +139,7 @@
     TimePoint deadline{};
     std::shared_ptr<HttpChannel> channel; //!< null once the answer has arrived
     AnsweredRequests answered;            //!< earlier requests on the channel
+    std::unique_ptr<MemoryHolding> body;  //!< of a body that another node sends
     std::unique_ptr<boost::asio::steady_timer> timer;
     bool pooled = false;
     bool sent = false;
@@ -204,8 +213,9 @@
   WaitingQueue mQueue;
   std::map<Ticket, QueuedCall> mQueuedCalls;
   std::map<Ticket, ActivePtr> mRunning;
-  std::shared_ptr<ByteBudget> mAnswerBytes; //!< of the answers that are not complete
-  std::vector<PooledConnection> mPool;      //!< most recently used last
+  const std::shared_ptr<MemoryBudget> mMemory; //!< for bodies that other nodes send
+  std::shared_ptr<ByteBudget> mAnswerBytes;    //!< of the answers that are not complete
+  std::vector<PooledConnection> mPool;         //!< most recently used last
   LatencyHistograms mLatencies{ "mw_gate_answer_seconds" };
   std::uint64_t mDroppedAnswers = 0;      //!< that belonged to another request
   std::uint64_t mBelievedRefusals = 0;    //!< answers that were taken for "not run"
--- a/src/sidecar/GateActiveCalls.cpp
+++ b/src/sidecar/GateActiveCalls.cpp
@@ -39,8 +39,8 @@
  * after its deadline a request may still come again. */
 constexpr Milliseconds kLateRepeat{ 2'000 };
 
-/** A body takes 50 ms on a link of 10 Mbit/s; after this time the ingress or the network path has
- * failed. */
+/** A part of a body takes 50 ms on a link of 10 Mbit/s; after this time without one the ingress or
+ * the network path has failed. */
 constexpr Milliseconds kBodyTimeout{ 1'000 };
 
 } // namespace
@@ -114,18 +114,33 @@
   active->deadline = aQueued.deadline;
   active->timer = std::make_unique<boost::asio::steady_timer>(mLoop);
   mRunning.emplace(aTicket, active);
-  if (active->call.bodyFollows) {
-    AwaitBody(aTicket, active);
-    aQueued.wantBody();
+  if (!active->call.bodyFollows) {
+    Send(aTicket, active);
     return;
   }
-  Send(aTicket, active);
+  active->body = std::make_unique<MemoryHolding>(mMemory);
+  if (!active->body->TrySet(active->call.bodyBytes)) { // it was there when the call came
+    GateCallResult result;
+    result.outcome = CallOutcome::kRefused;
+    result.reason = ResultCode::kGateNoMemory;
+    Finish(aTicket, active, std::move(result));
+    return;
+  }
+  AwaitBody(aTicket, active);
+  aQueued.wantBody();
+}
+
+void Gate::OnBodyPart(Ticket aTicket)
+{
+  const auto it = mRunning.find(aTicket);
+  if (it != mRunning.end() && it->second->call.bodyFollows) {
+    AwaitBody(aTicket, it->second);
+  }
 }
 
 void Gate::AwaitBody(Ticket aTicket, const ActivePtr& aActive)
 {
-  aActive->timer->expires_after(
-    std::min<Duration>(aActive->deadline - aActive->begin, kBodyTimeout));
+  aActive->timer->expires_after(std::min<Duration>(aActive->deadline - mClock.Now(), kBodyTimeout));
   aActive->timer->async_wait([this, aTicket, aActive](const boost::system::error_code& aError) {
     if (aError || !aActive->call.bodyFollows || mRunning.count(aTicket) == 0) {
       return; // the body arrived, or the call ended
@@ -216,13 +231,14 @@
   aActive->sent = true;
   const std::string& id = aActive->call.requestId;
   aActive->channel->Exchange(
-    FormatRequest(request, mState.Current().address.ToString()),
+    FormatRequestHead(request, mState.Current().address.ToString()),
     kMaxAnswerBytes,
     request.method == "HEAD",
     [this, id](const HttpAnswer& aAnswer) { return BelongsTo(id, aAnswer); },
     [this, aTicket, aActive](HttpChannelResult aResult) {
       OnResponse(aTicket, aActive, std::move(aResult));
-    });
+    },
+    request.body);
 }
 
 /** Whether an answer on the connection of a request belongs to it; others are dropped. */
--- a/src/sidecar/GateCall.h
+++ b/src/sidecar/GateCall.h
@@ -3,6 +3,7 @@
 #include "http/HttpRequest.h"
 #include "mustardwinch/Clock.h"
 
+#include <cstddef>
 #include <string>
 
 namespace mustardwinch {
@@ -18,12 +19,13 @@
   int priority = 0;
   std::string organisation;
   bool idempotent = false;
-  bool mayWait = false;     //!< may be queued; otherwise it starts at once or is refused
-  bool lastResort = false;  //!< run even if the upstream is suspected to be unhealthy
-  bool isRetry = false;     //!< another attempt was or may have been sent to an upstream
-  std::string route;        //!< name, for what is counted by route
-  std::string version;      //!< of the upstream, as the ingress has chosen; empty: any
-  bool bodyFollows = false; //!< the body is sent separately once the gate has assigned a slot
+  bool mayWait = false;      //!< may be queued; otherwise it starts at once or is refused
+  bool lastResort = false;   //!< run even if the upstream is suspected to be unhealthy
+  bool isRetry = false;      //!< another attempt was or may have been sent to an upstream
+  std::string route;         //!< name, for what is counted by route
+  std::string version;       //!< of the upstream, as the ingress has chosen; empty: any
+  std::size_t bodyBytes = 0; //!< length of a body that follows
+  bool bodyFollows = false;  //!< the body is sent separately once the gate has assigned a slot
 
   bool operator==(const GateCall&) const = default;
 };
--- a/src/sidecar/Ingress.cpp
+++ b/src/sidecar/Ingress.cpp
@@ -1,11 +1,18 @@
 #include "sidecar/Ingress.h"
 
+#include "http/HttpText.h"
 #include "sidecar/Exchange.h"
+#include "sidecar/RouteMatch.h"
 #include "sidecar/TrafficSplit.h"
 
 #include <utility>
 
 namespace mustardwinch {
+namespace {
+
+constexpr const char* kRetryAfterSeconds = "0.4";
+
+} // namespace
 
 Ingress::Ingress(IngressServices aServices)
   : mServices(std::move(aServices))
@@ -20,6 +27,28 @@
   std::make_shared<Exchange>(*this, aSession, std::move(aRequest))->Start();
 }
 
+std::optional<HttpAnswer> Ingress::CheckHead(const HttpRequest& aHead)
+{
+  const auto routing = mServices.routing();
+  const RouteMatch match =
+    routing ? MatchRequest(*routing, mServices.names, aHead, mServices.mayAcceptKeys())
+            : RouteMatch{ .refusal = 503, .why = "no-configuration" };
+  if (match.refusal == 0 && mAccepting) {
+    return std::nullopt;
+  }
+  const unsigned status = mAccepting ? match.refusal : 503;
+  ++mStatusCounts[status];
+  HttpAnswer answer = MakeTextAnswer(status, mAccepting ? match.why : "node-stopping");
+  const std::string_view id = HeaderValue(aHead.headers, mServices.names.requestId);
+  if (!id.empty()) {
+    answer.headers.push_back({ mServices.names.requestId, std::string(id) });
+  }
+  if (status == 503) {
+    answer.headers.push_back({ mServices.names.retryAfter, kRetryAfterSeconds });
+  }
+  return answer;
+}
+
 void Ingress::AnswerOpenRequests()
 {
   const std::set<Exchange*> open = *mOpen;
--- a/src/sidecar/Ingress.h
+++ b/src/sidecar/Ingress.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -25,6 +26,9 @@
 
   void Handle(const std::shared_ptr<HttpSession>& aSession, HttpRequest aRequest);
 
+  /** Refuses a request with a large body by its head; nothing if the body may be read. */
+  std::optional<HttpAnswer> CheckHead(const HttpRequest& aHead);
+
   /** Refuses new requests from now on, as not run; open ones continue. */
   void StopAccepting() { mAccepting = false; }
 
--- a/src/sidecar/RolloutAgent.cpp
+++ b/src/sidecar/RolloutAgent.cpp
@@ -5,6 +5,9 @@
 #include "mustardwinch/Event.h"
 #include "quota/RateOwner.h"
 #include "sidecar/RolloutCodec.h"
+#include "sidecar/TrafficSplit.h"
+
+#include <xxhash.h>
 
 #include <algorithm>
 #include <utility>
@@ -96,6 +99,7 @@
   , mStore(aStore)
   , mVm(std::move(aVm))
   , mDelegate(std::move(aDelegate))
+  , mTable(InitialSplitPosition(XXH64(mVm.data(), mVm.size(), 0)))
 {
 }
 
--- a/src/sidecar/SidecarNode.cpp
+++ b/src/sidecar/SidecarNode.cpp
@@ -2,6 +2,7 @@
 
 #include "base/BoundedLog.h"
 #include "mustardwinch/Event.h"
+#include "sidecar/ResourceLimits.h"
 #include "sidecar/SharedRetryBudget.h"
 #include "store/EpochObserver.h"
 
@@ -13,6 +14,12 @@
 namespace {
 
 constexpr Milliseconds kTickPeriod{ 100 };
+
+/** Bodies that the platform's checks may carry; they need none. */
+constexpr std::size_t kNoBodyBytes = 1'024;
+
+/** An announcement takes some hundred bytes. */
+constexpr std::size_t kAnnouncementBytes = 64U << 10;
 constexpr std::uint64_t kTicksPerSecond = 10;
 
 /** Time for the links to connect after the members are known. */
@@ -47,8 +54,9 @@
   , mReload(std::move(aReload))
   , mState(mClock, mBinding, { [this] { OnConfig(); }, [this] { OnEvacuations(); } })
   , mKeys(mSettings.revocation)
+  , mBodies(MakeMemoryBudget(mSettings.resources))
   , mRollouts(mClock, mSettings.rollouts, mBinding, mStore, mSettings.vmName, MakeRolloutDelegate())
-  , mGate(aLoop, mClock, mBinding.names, mSettings.cold, MakeGateDelegate())
+  , mGate(aLoop, mClock, mBinding.names, mSettings.cold, MakeGateDelegate(), mBodies)
   , mLinks(aLoop, mClock, Self(), MakeLinkCallbacks())
   , mServer(aLoop, MakeServerHandlers())
   , mRates(mClock, mSettings.vmName, mLinks, RateKind::kOrganisation, mSettings.rates)
@@ -63,26 +71,35 @@
   , mEvacuationWatcher(aLoop, mClock, mStore, StoredKind::kEvacuations, EvacuationHandlers())
   , mMemberWatcher(aLoop, mClock, mStore, StoredKind::kMembers, MemberHandlers(), kMemberWatchGap)
   , mRolloutWatcher(aLoop, mClock, mStore, StoredKind::kRollouts, RolloutHandlers())
-  , mCallers(aLoop,
-             mClock,
-             [this](const std::shared_ptr<HttpSession>& aSession, HttpRequest aRequest) {
-               mIngress.Handle(aSession, std::move(aRequest));
-             })
-  , mReadiness(aLoop,
-               mClock,
-               [this](const auto& aSession, const HttpRequest& aRequest) {
-                 HandleReadiness(aSession, aRequest);
-               })
-  , mControl(aLoop,
-             mClock,
-             [this](const auto& aSession, const HttpRequest& aRequest) {
-               HandleControl(aSession, aRequest);
-             })
-  , mMetrics(aLoop,
-             mClock,
-             [this](const auto& aSession, const HttpRequest& aRequest) {
-               HandleMetrics(aSession, aRequest);
-             })
+  , mCallers(
+      aLoop,
+      mClock,
+      [this](const std::shared_ptr<HttpSession>& aSession, HttpRequest aRequest) {
+        mIngress.Handle(aSession, std::move(aRequest));
+      },
+      CallerLimits(mSettings.resources, mBodies),
+      [this](const HttpRequest& aHead) { return mIngress.CheckHead(aHead); })
+  , mReadiness(
+      aLoop,
+      mClock,
+      [this](const auto& aSession, const HttpRequest& aRequest) {
+        HandleReadiness(aSession, aRequest);
+      },
+      ServiceLimits(kNoBodyBytes))
+  , mControl(
+      aLoop,
+      mClock,
+      [this](const auto& aSession, const HttpRequest& aRequest) {
+        HandleControl(aSession, aRequest);
+      },
+      ServiceLimits(kAnnouncementBytes))
+  , mMetrics(
+      aLoop,
+      mClock,
+      [this](const auto& aSession, const HttpRequest& aRequest) {
+        HandleMetrics(aSession, aRequest);
+      },
+      ServiceLimits(kNoBodyBytes))
   , mStopSignals(aLoop, SIGTERM, SIGINT)
   , mHangup(aLoop, SIGHUP)
   , mTimer(aLoop)
@@ -198,6 +215,8 @@
   text += "mw_store_epoch " + std::to_string(mStoreEpoch) + "\n";
   text += "mw_log_lines_dropped_total " + std::to_string(DroppedLogLines()) + "\n";
   text += "mw_caller_connections " + std::to_string(mCallers.Count()) + "\n";
+  text += mCallers.MetricsText("callers") + mReadiness.MetricsText("readiness") +
+          mControl.MetricsText("control") + mMetrics.MetricsText("metrics");
   aSession->Answer({ 200, { { "Content-Type", "text/plain; version=0.0.4" } }, text });
 }
 
@@ -235,7 +254,7 @@
       mClock.Now() - mStopBegin >= mSettings.stopGrace - kStopMargin - kFinalAnswerTime) {
     mIngress.AnswerOpenRequests();
   }
-  if (mStopping && MayExit()) {
+  if (mStopping && IsReadyToExit()) {
     LogEvent(LogLevel::kInfo,
              Event::kProcessStopped,
              { { "vm", mSettings.vmName },
@@ -300,6 +319,23 @@
   mCallers.AnnounceStop();
 }
 
+/**
+ * Load pattern: a roll-out or a replacement ends more VMs than stay. Their entries would count as
+ * nodes that are not heard, and without a majority nobody grants rates.
+ */
+bool SidecarNode::IsReadyToExit()
+{
+  const bool isLate = mClock.Now() - mStopBegin >= mSettings.stopGrace - kStopMargin;
+  if (isLate || !MayExit() || !mGate.HasLostUpstream()) {
+    return MayExit();
+  }
+  if (!mLeaving) {
+    mLeaving = true;
+    mRegistrar.Leave([this] { mHasLeft = true; });
+  }
+  return mHasLeft;
+}
+
 bool SidecarNode::MayExit() const
 {
   const Duration elapsed = mClock.Now() - mStopBegin;
--- a/src/sidecar/SidecarNode.h
+++ b/src/sidecar/SidecarNode.h
@@ -107,6 +107,9 @@
   void AwaitHangup();
   void Reload();
   bool MayExit() const;
+
+  /** Nothing is left to do. Removes the node's entry first if its VM leaves with the upstream. */
+  bool IsReadyToExit();
   NodeRetryBudget& RetryAllowanceFor(const std::string& aService);
 
   boost::asio::io_context& mLoop;
@@ -118,6 +121,7 @@
   const ReloadFn mReload;
   FleetState mState;
   KeyFreshness mKeys;
+  const std::shared_ptr<MemoryBudget> mBodies; //!< requests of callers, bodies of other nodes
   RolloutAgent mRollouts;
   Gate mGate;
   LinkTable mLinks;
@@ -155,6 +159,8 @@
   std::uint64_t mDroppedLines = 0;
   bool mWasReady = false;
   bool mStopping = false;
+  bool mLeaving = false; //!< the entry among the members is being removed
+  bool mHasLeft = false; //!< it has been removed
 };
 
 } // namespace mustardwinch
--- a/src/sidecar/SidecarNodeGates.cpp
+++ b/src/sidecar/SidecarNodeGates.cpp
@@ -156,7 +156,7 @@
   const auto onResult = [done = std::move(aDone)](PeerLink::CallEnd aEnd) {
     done(std::visit([](auto aOne) { return ToResult(std::move(aOne)); }, std::move(aEnd)));
   };
-  if (link == nullptr || !link->Call(ToMessage(aCall), onResult, id)) {
+  if (link == nullptr || !link->Call(ToMessage(aCall), aCall.request.body, onResult, id)) {
     return nullptr;
   }
   return [weak = link->weak_from_this(), id] {
--- a/src/sidecar/SidecarNodeLinks.cpp
+++ b/src/sidecar/SidecarNodeLinks.cpp
@@ -72,6 +72,7 @@
   handlers.giveBody = [this](Gate::Ticket aTicket, std::string aBody) {
     mGate.ProvideBody(aTicket, std::move(aBody));
   };
+  handlers.onBodyPart = [this](Gate::Ticket aTicket) { mGate.OnBodyPart(aTicket); };
   handlers.cancel = [this](Gate::Ticket aTicket) { mGate.Cancel(aTicket); };
   handlers.onHello = [this](const HelloMessage& aHello) {
     if (!aHello.seenInstance.empty()) {
--- a/tests/adapter/ConfigDecoderTest.cpp
+++ b/tests/adapter/ConfigDecoderTest.cpp
@@ -58,6 +58,13 @@
         TrafficService{ "one", "/healthz", 390, 43, Milliseconds(3'500) });
 }
 
+// Downloads were sent to one upstream only, although they may run again.
+TEST_CASE_FIXTURE(ConfigFixture, "DecodeConfig, downloads, are idempotent")
+{
+  spec["listeners"][0]["rules"][2]["kind"] = "download";
+  CHECK(platform::DecodeConfig(spec).Value().routes[2].idempotent);
+}
+
 TEST_CASE_FIXTURE(ConfigFixture, "DecodeConfig, field missing or of another type, is rejected")
 {
   struct Row
--- a/tests/fleet/FleetCodecTest.cpp
+++ b/tests/fleet/FleetCodecTest.cpp
@@ -19,7 +19,12 @@
   call.organisation = "org";
   call.idempotent = true;
   call.mayWait = true;
-  const std::string bytes = EncodeFleetMessage(FleetMessage::kCall, ToMessage(call));
+  call.bodyBytes = 2;
+  call.route = "r";
+  call.version = "v2";
+  CallMessage message = ToMessage(call);
+  message.body = call.request.body; // the link sends it with the call or in parts
+  const std::string bytes = EncodeFleetMessage(FleetMessage::kCall, message);
   CHECK(bytes.front() == static_cast<char>(FleetMessage::kCall));
   const auto decoded = DecodeFleetMessage<CallMessage>(std::string_view(bytes).substr(1));
   REQUIRE(decoded.has_value());
--- a/tests/fleet/MemberRegistrarTest.cpp
+++ b/tests/fleet/MemberRegistrarTest.cpp
@@ -120,3 +120,28 @@
   CHECK(links.Find("vm-1") == nullptr);
   CHECK(writes.empty());
 }
+
+// A roll-out ended more VMs than stayed: their entries took the majority from the others.
+TEST_CASE_FIXTURE(RegisteredNode,
+                  "Members, node leaves for good, its entry is removed and not written")
+{
+  registrar.OnList({}, { 1, 10 });
+  REQUIRE(writes.size() == 1);
+  StoredObject own = writes.front().object;
+  own.revision = 11;
+  registrar.OnChange(own);
+  std::optional<StoredObject> removed;
+  store.remove = [&](StoredKind, const StoredObject& aObject, const ObjectStore::ReplyFn& aDone) {
+    removed = aObject;
+    aDone({});
+  };
+  bool done = false;
+  registrar.Leave([&] { done = true; });
+  REQUIRE(removed);
+  CHECK(removed->name == "vm-0");
+  CHECK(removed->revision == 11);
+  CHECK(done);
+  own.removed = true;
+  registrar.OnChange(own);
+  CHECK(writes.size() == 1);
+}
--- a/tests/sidecar/TestUpstream.h
+++ b/tests/sidecar/TestUpstream.h
@@ -72,8 +72,9 @@
       aSession->Answer({ ranStatus, headers, "" });
       return;
     }
-    const std::string body =
-      largeAnswer ? std::string(kLargeAnswerBytes, 'l') : "answer of " + instance;
+    const std::string body = largeAnswer        ? std::string(kLargeAnswerBytes, 'l')
+                             : answerBytes != 0 ? std::string(answerBytes, 'a')
+                                                : "answer of " + instance;
     aSession->Answer({ error ? 500U : 200U, headers, body });
   }
 
@@ -90,7 +91,8 @@
   bool error = false;
   bool wrongId = false;
   bool largeAnswer = false;
-  unsigned ranStatus = 0; //!< status of the answer to a request that was run; 0: 200
+  std::size_t answerBytes = 0; //!< of the body; 0: a short text
+  unsigned ranStatus = 0;      //!< status of the answer to a request that was run; 0: 200
 
   static constexpr std::size_t kLargeAnswerBytes = 12U << 20; //!< more than the kernel's buffers
 };
--- a/tools/mwsidecar/main.cpp
+++ b/tools/mwsidecar/main.cpp
@@ -6,6 +6,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <gflags/gflags.h>
+#include <malloc.h>
 #include <sys/stat.h>
 
 #include <csignal>
@@ -23,6 +24,7 @@
 namespace {
 
 constexpr int kExitFailed = 1;
+constexpr int kMmapThreshold = 256 * 1'024; //!< bytes
 constexpr int kExitBadInput = 2;
 
 std::string SettingsPath()
@@ -91,6 +93,8 @@
 {
   InitBoundedLogging("mwsidecar", aSettings.logLevel, aSettings.logLinesPerSecond);
   std::signal(SIGPIPE, SIG_IGN);
+  // Keeps large bodies out of the heap, whose holes they would leave behind.
+  mallopt(M_MMAP_THRESHOLD, kMmapThreshold);
   boost::asio::io_context loop(1);
   SettingsFile file(aPath);
   SidecarNode node(loop,
--- a/tools/soak/ChildProcess.h
+++ b/tools/soak/ChildProcess.h
@@ -30,6 +30,7 @@
   ChildProcess& operator=(const ChildProcess&) = delete;
 
   void Signal(int aSignal) const;
+  pid_t Id() const { return mPid; }
 
   /** Waits for the exit: its code, 128 + signal if killed, nothing if it still runs at the end. */
   std::optional<int> AwaitExit(Milliseconds aLimit);
--- a/tools/soak/SoakCaller.cpp
+++ b/tools/soak/SoakCaller.cpp
@@ -90,7 +90,7 @@
                       { names.remaining, std::to_string(kPatience.count()) },
                       { names.callerService, "forged" },
                       { names.organisation, "forged" } };
-  request.body.assign(mRequest.bodyBytes, 'u');
+  request.body = std::string(mRequest.bodyBytes, 'u');
   if (!mRequest.key.empty()) {
     request.headers.push_back({ names.key, mRequest.key });
   }
--- a/tools/soak/StandinStore.cpp
+++ b/tools/soak/StandinStore.cpp
@@ -160,7 +160,7 @@
     Answer(aSession, found ? 200 : 404, json::object());
     return;
   }
-  json object = json::parse(aRequest.body);
+  json object = json::parse(aRequest.body.Text());
   const std::string name = object["metadata"]["name"];
   const auto found = objects.find(name);
   const bool create = aRequest.method == "POST";
