Lint: a parameter's name and a concatenation

No behaviour changes: the metrics text has the same lines, and the predicate over members is the same.

--- a/src/http/HttpListener.cpp
+++ b/src/http/HttpListener.cpp
@@ -212,8 +212,9 @@
     text += "mw_held_bytes" + label + "} " + std::to_string(mShared.memory->Used()) + "\n";
   }
   for (const auto& [why, n] : mRefusals) {
-    text +=
-      "mw_callers_limited_total" + label + ",why=\"" + why + "\"} " + std::to_string(n) + "\n";
+    text += "mw_callers_limited_total" + label;
+    text += ",why=\"" + why + "\"} ";
+    text += std::to_string(n) + "\n";
   }
   return text;
 }
--- a/src/sidecar/RolloutAgent.cpp
+++ b/src/sidecar/RolloutAgent.cpp
@@ -201,8 +201,8 @@
 std::string RolloutAgent::CoordinatorOf(const std::string& aService,
                                         const std::vector<Member>& aMembers) const
 {
-  const bool someReachStore =
-    std::any_of(aMembers.begin(), aMembers.end(), [](const Member& it) { return it.reachesStore; });
+  const bool someReachStore = std::any_of(
+    aMembers.begin(), aMembers.end(), [](const Member& aMember) { return aMember.reachesStore; });
   std::vector<std::string> vms;
   for (const Member& it : aMembers) {
     if (it.reachesStore || !someReachStore) {
