Calls of upstreams go before new requests; idle connections hold no memory

Cause: a call that a run makes waited behind new requests and was sent to four full gates before it could queue; each one that was turned away lost the run that had made it. Calls now have a priority before all that operators set, and queue after one refusal. Ruled out: a slot kept free for calls at each gate, which would idle most of the time. Test: fifty rounds with two arrivals for each free slot, all fifty calls are served first. Idle connections counted 4 KB each for their next read, so 2,000 of them used up the part for small requests; now only connections that hold something do.

--- a/src/http/HttpSession.cpp
+++ b/src/http/HttpSession.cpp
@@ -16,6 +16,9 @@
 /** A request that waits longer than this for memory is refused. */
 constexpr Milliseconds kMaxStarvation{ 1'500 };
 
+/** Counted for the next read before it is known how much it brings. */
+constexpr std::size_t kNextReadBytes = 4'096;
+
 constexpr const char* kRetryAfterMemory = "1"; // seconds; stalled bodies are ended sooner
 
 } // namespace
@@ -67,8 +70,9 @@
 /** Whether there is memory for the next bytes. */
 bool HttpSession::MayRead()
 {
-  // Bytes of a body whose length was announced are reserved already.
-  const std::size_t next = mReservedBytes != 0 ? CountHeld() : CountHeld() + kReadBytes / 4;
+  // An announced body is counted whole already, and an idle connection holds nothing.
+  const std::size_t held = CountHeld();
+  const std::size_t next = held == 0 || mReservedBytes != 0 ? held : held + kNextReadBytes;
   if (mHolding.TrySet(next) || (mListener->MakeRoom(*this, next) && mHolding.TrySet(next))) {
     mStarved = false;
     return true;
--- a/src/sidecar/Exchange.cpp
+++ b/src/sidecar/Exchange.cpp
@@ -18,6 +18,10 @@
  * gate. */
 constexpr std::uint32_t kMaxRefusals = 4;
 
+/** Calls of upstreams are short and go first in a queue, so they wait less there than for refusals.
+ */
+constexpr std::uint32_t kMaxRefusalsOfCall = 1;
+
 /** Fraction of the latency target after which an idempotent request is hedged at a second upstream.
  */
 constexpr double kHedgeShare = 0.55;
@@ -196,8 +200,7 @@
 /** A retried request sends its inner calls again: they count as retries for the service called. */
 void Exchange::ChargeInnerCallOfRetry()
 {
-  const bool isCall = mOrganisation == nullptr && mRoute->allowAnonymous;
-  const double share = isCall ? mServices.retryShare() : 0;
+  const double share = IsInnerCall() ? mServices.retryShare() : 0;
   constexpr std::uint64_t kRange = 1024;
   if (static_cast<double>(mIngress.mRandom() % kRange) < share * kRange) {
     mServices.acquireRetry(mService, [](bool) {}); // the call runs even if the budget denies it
@@ -214,7 +217,8 @@
   if (mEnded) {
     return;
   }
-  if (!mQueued && mRefused < kMaxRefusals && TryPlace(false, false)) {
+  const std::uint32_t maxRefusals = IsInnerCall() ? kMaxRefusalsOfCall : kMaxRefusals;
+  if (!mQueued && mRefused < maxRefusals && TryPlace(false, false)) {
     return;
   }
   if (!mQueued) {
--- a/src/sidecar/Exchange.h
+++ b/src/sidecar/Exchange.h
@@ -53,6 +53,9 @@
   void AcquireRateToken(bool aMayWait);
   void OnRate(const RateVerdict& aVerdict, bool aMayWait);
   void ChargeInnerCallOfRetry();
+
+  /** The upstream beside the node makes it: calls carry no key. */
+  bool IsInnerCall() const { return mOrganisation == nullptr && mRoute->allowAnonymous; }
   void StartTimers();
   void OnHedgeTimer();
   void OnDeadline();
--- a/src/sidecar/ExchangeAttempts.cpp
+++ b/src/sidecar/ExchangeAttempts.cpp
@@ -1,6 +1,7 @@
 #include "sidecar/Exchange.h"
 
 #include "mustardwinch/Event.h"
+#include "sidecar/RequestPriority.h"
 
 #include <algorithm>
 #include <utility>
@@ -72,8 +73,7 @@
   call.request = mRequest;
   call.remaining = std::max(RemainingTime(), Milliseconds(1));
   call.latencyTarget = mRoute->latencyTarget;
-  call.priority = mOrganisation != nullptr && mOrganisation->priority ? *mOrganisation->priority
-                                                                      : mRoute->priority;
+  call.priority = PriorityOf(*mRoute, mOrganisation, IsInnerCall());
   call.organisation = mOrganisation != nullptr ? mOrganisation->organisation.name : std::string();
   call.idempotent = mRoute->idempotent;
   call.mayWait = aMayWait;
--- a/tests/placement/WaitingQueueTest.cpp
+++ b/tests/placement/WaitingQueueTest.cpp
@@ -1,4 +1,5 @@
 #include "placement/WaitingQueue.h"
+#include "sidecar/RequestPriority.h"
 
 #include <doctest/doctest.h>
 
@@ -30,6 +31,25 @@
   CHECK(Next() == 1);
 }
 
+// A run at the larger service made two calls at the smaller one; each call that was turned away
+// behind new requests lost the run.
+TEST_CASE_FIXTURE(QueueFixture, "WaitingQueue, calls of upstreams among new requests, go first")
+{
+  TrafficRoute route;
+  route.priority = 0;
+  const TrafficOrganisation urgent{ {}, 0 };
+  int callsServed = 0;
+  std::uint64_t id = 0;
+  for (int round = 0; round < 50; ++round) { // two arrivals for each slot that becomes free
+    Add(++id, PriorityOf(route, &urgent, false), "org");
+    Add(++id, PriorityOf(route, nullptr, true), "");
+    CHECK(queue.CountAhead(PriorityOf(route, nullptr, true)) == 1);
+    callsServed += Next() % 2 == 0 ? 1 : 0; // calls have even numbers
+  }
+  CHECK(callsServed == 50);
+  CHECK(queue.Size() == 50);
+}
+
 TEST_CASE_FIXTURE(QueueFixture,
                   "WaitingQueue, backlog of one organisation, others do not wait for it")
 {
