Answers that were sent give their memory back; a gate starts no request whose answer may find none

Cause: assigning an empty string keeps the buffer, so each connection held its largest answer for good, uncounted: 70 blocks of 1 MB beside a budget that counted 2 MB, and links held their largest frame. Strings are now released by a swap. Ruled out: the parser, pooled connections and the kernel's buffers (smaps: live blocks of the size of one answer).

--- a/src/fleet/FrameConnection.cpp
+++ b/src/fleet/FrameConnection.cpp
@@ -1,6 +1,7 @@
 #include "fleet/FrameConnection.h"
 
 #include "base/OperationHold.h"
+#include "base/ReleaseText.h"
 #include "http/HttpChannel.h"
 #include "mustardwinch/Event.h"
 
@@ -94,7 +95,7 @@
   }
   mInput.erase(0, at);
   if (mInput.empty() && mInput.capacity() > kMaxIdleBytes) {
-    mInput = std::string(); // a large frame must not hold its memory for good
+    ReleaseText(mInput); // a large frame must not hold its memory for good
   }
 }
 
--- a/src/http/ByteBudget.h
+++ b/src/http/ByteBudget.h
@@ -31,6 +31,7 @@
   void Return(std::size_t aBytes) { mTaken -= aBytes; }
 
   std::size_t Taken() const { return mTaken; }
+  std::size_t Limit() const { return mLimit; }
 
 private:
   const std::size_t mLimit;
--- a/src/http/HttpSession.cpp
+++ b/src/http/HttpSession.cpp
@@ -1,5 +1,6 @@
 #include "http/HttpSession.h"
 
+#include "base/ReleaseText.h"
 #include "http/HttpListener.h"
 #include "http/HttpRequestParser.h"
 #include "http/HttpText.h"
@@ -250,7 +251,7 @@
   mReservedBytes = 0;
   mParser = std::make_unique<HttpRequestParser>(mListener->EffectiveLimits());
   if (mClosing) {
-    mInput = std::string(); // what the caller still sends is dropped
+    ReleaseText(mInput); // what the caller still sends is dropped
   }
   mSince = mListener->mClock.Now();
   mProgress = mSince;
@@ -294,7 +295,7 @@
         return;
       }
       self->mWriting = false;
-      self->mSending = std::string();
+      ReleaseText(self->mSending);
       self->mHolding.Set(self->CountHeld());
       self->OnWritten();
     });
@@ -365,8 +366,8 @@
   if (!mBusy) {
     mParser = std::make_unique<HttpRequestParser>(HttpLimits{});
   }
-  mInput = std::string();
-  mOutput = std::string();
+  ReleaseText(mInput);
+  ReleaseText(mOutput);
   mHolding.Set(mBusy ? mRequestBytes : 0);
 }
 
--- a/src/sidecar/Gate.cpp
+++ b/src/sidecar/Gate.cpp
@@ -164,7 +164,15 @@
 bool Gate::CanStartNow(const GateCall& aCall) const
 {
   return mRunning.size() < std::max<std::uint32_t>(1, mState.Current().slots) &&
-         mStarts.Allows(mClock.Now(), StartsPerSecond(aCall.service));
+         mStarts.Allows(mClock.Now(), StartsPerSecond(aCall.service)) && HasRoomForAnswer();
+}
+
+/** Load pattern: many large answers at once. Those that find no memory would fail after they ran.
+ */
+bool Gate::HasRoomForAnswer() const
+{
+  const double expected = static_cast<double>(mRunning.size() + 1) * mSmoothedAnswerBytes;
+  return mRunning.empty() || expected <= static_cast<double>(mAnswerBytes->Limit());
 }
 
 double Gate::RetryShare() const
--- a/src/sidecar/Gate.h
+++ b/src/sidecar/Gate.h
@@ -162,6 +162,9 @@
 
   std::optional<ResultCode> RefusalReason(const GateCall& aCall) const;
   bool CanStartNow(const GateCall& aCall) const;
+
+  /** Whether one more answer of the usual size fits into the memory for answers. */
+  bool HasRoomForAnswer() const;
   double StartsPerSecond(const std::string& aService) const;
   std::string HealthPath(const std::string& aService) const;
 
@@ -221,7 +224,8 @@
   std::uint64_t mBelievedRefusals = 0;    //!< answers that were taken for "not run"
   std::uint64_t mHeldByBound = 0;         //!< requests refused or queued while slots were free
   std::uint64_t mDisbelievedRefusals = 0; //!< answers that looked so and were not
-  TimePoint mDownUntil{};   //!< no connection is attempted until then, after a failed one
+  TimePoint mDownUntil{}; //!< no connection is attempted until then, after a failed one
+  double mSmoothedAnswerBytes = 0;
   double mSmoothedAnswerMs; //!< exponentially smoothed time of a successful answer
   RouteEvidence mEvidence;
   TimePoint mUpstreamSince{}; //!< when the present process of the upstream announced itself
--- a/src/sidecar/GateActiveCalls.cpp
+++ b/src/sidecar/GateActiveCalls.cpp
@@ -35,6 +35,9 @@
 /** Weight of the newest answer in the smoothed answer time. */
 constexpr double kAnswerTimeWeight = 0.1;
 
+/** The same for its size; higher, since the first large answers must count soon. */
+constexpr double kAnswerBytesWeight = 0.3;
+
 /** An ingress waits a moment beyond its deadline, and a link may deliver a repeat late: that long
  * after its deadline a request may still come again. */
 constexpr Milliseconds kLateRepeat{ 2'000 };
@@ -401,6 +404,8 @@
       mHealth.OnSuccess(now, target > 0 ? tookMs / target : 0);
     }
     mSmoothedAnswerMs += kAnswerTimeWeight * (tookMs - mSmoothedAnswerMs);
+    const auto bytes = static_cast<double>(aAnswer.body.size());
+    mSmoothedAnswerBytes += kAnswerBytesWeight * (bytes - mSmoothedAnswerBytes);
   } else {
     mHealth.OnError(now);
   }
