A connection that waits for memory is kept, and its body is read when there is room

Cause: while the memory is used up a session starts no read, and nothing else held it, so it was closed at once: a proper upload lost its connection although a stalled one was about to make room. The session now holds itself while it waits. Test: a body waits behind a stalled one and is served; it failed before (status 0) and passes; 31 of area http and nine of the misbehaving callers pass.

--- a/src/http/HttpSession.cpp
+++ b/src/http/HttpSession.cpp
@@ -5,6 +5,8 @@
 #include "http/HttpRequestParser.h"
 #include "http/HttpText.h"
 
+#include <boost/asio/post.hpp>
+
 #include <algorithm>
 #include <array>
 #include <utility>
@@ -91,7 +93,8 @@
     return;
   }
   if (!mClosing && !MayRead()) {
-    return; // RetryRead() goes on
+    mWaitingSelf = shared_from_this(); // RetryRead() goes on
+    return;
   }
   mReading = true;
   // Waits without a buffer: most connections are idle.
@@ -100,6 +103,7 @@
                        self->mReading = false;
                        self->OnReadable(aError);
                      });
+  mWaitingSelf = nullptr; // the operation holds it
 }
 
 void HttpSession::OnReadable(const boost::system::error_code& aError)
@@ -369,6 +373,8 @@
   ReleaseText(mInput);
   ReleaseText(mOutput);
   mHolding.Set(mBusy ? mRequestBytes : 0);
+  // Released later: the session is still in use here.
+  boost::asio::post(mSocket.get_executor(), [self = std::exchange(mWaitingSelf, nullptr)] {});
 }
 
 } // namespace mustardwinch
--- a/src/http/HttpSession.h
+++ b/src/http/HttpSession.h
@@ -99,6 +99,7 @@
   std::size_t mSent = 0;
   std::unique_ptr<HttpRequestParser> mParser;
   std::function<void()> mGone;
+  std::shared_ptr<HttpSession> mWaitingSelf; //!< while it waits for memory, no operation holds it
   TimePoint mSince{};             //!< begin of the wait for a request, or of its first byte
   TimePoint mProgress{};          //!< last byte in either direction
   TimePoint mStarvedSince{};      //!< valid while mStarved
