Requests held back for want of memory no longer count as held by the cold bound

Cause: the counter took every request that found free slots as held by the bound on starts, so it grew with large answers as well and pointed operators to the health path. It now leaves out requests that wait for room for an answer, and these ask for no probe.

--- a/src/sidecar/Gate.cpp
+++ b/src/sidecar/Gate.cpp
@@ -274,7 +274,7 @@
     Start(ticket, { std::move(aCall), std::move(aDone), std::move(aWantBody), deadline });
     return ticket;
   }
-  if (mRunning.size() < mState.Current().slots) {
+  if (mRunning.size() < mState.Current().slots && HasRoomForAnswer()) {
     ++mHeldByBound;
     ProbeWarmthIfNeeded();
   }
