--- a/review/kit-2.h
+++ b/review/kit-2.h
@@ -821,6 +821,10 @@
     mPid = ::fork();
     if (mPid == 0) {
       ::setenv("MUSTARDWINCH_CONFIG", Path().c_str(), 1);
+      rlimit limit{};
+      ::getrlimit(RLIMIT_NOFILE, &limit);
+      limit.rlim_cur = std::min<rlim_t>(limit.rlim_max, static_cast<rlim_t>(descriptors));
+      ::setrlimit(RLIMIT_NOFILE, &limit); // of this process only, as the platform grants them
       const int log = ::open((folder + "/" + name + ".log").c_str(), O_CREAT | O_APPEND | O_WRONLY, 0644);
       ::dup2(log, STDOUT_FILENO);
       ::dup2(log, STDERR_FILENO);
@@ -850,6 +854,19 @@
     }
   }
 
+  /** Resident memory of the process, 0 if it has ended. */
+  long ResidentKb() const
+  {
+    std::ifstream in("/proc/" + std::to_string(mPid) + "/status");
+    std::string line;
+    while (std::getline(in, line)) {
+      if (line.rfind("VmRSS:", 0) == 0) {
+        return std::atol(line.c_str() + 6);
+      }
+    }
+    return 0;
+  }
+
   /** @return whether the process has ended by itself or by a signal */
   bool HasEnded()
   {
