--- a/review/10/case.cpp
+++ b/review/10/case.cpp
@@ -1,12 +1,31 @@
-// A client sends a body with a transfer coding that is not "chunked", and without a length. Bytes of the body
-// must not be run as a request of their own, and the request must not be run without its body.
+// The three nodes of a zone are stopped together by SIGTERM. Callers go on sending, as the platform
+// lets them. A request that a stopping node takes later than three seconds after the signal must be
+// answered.
 #include "../kit-2.h"
 
 using namespace kit;
 
 namespace {
 
-constexpr int kTimeoutMs = 6'000;
+constexpr int kNodes = 8;
+constexpr int kStopped = 3;
+constexpr int kTimeoutMs = 12'000;
+constexpr long long kWorkMs = 2'700;
+constexpr long long kFirstMs = 2'900; //!< after the signal
+constexpr long long kLastMs = 3'250;
+constexpr long long kGapMs = 10;
+constexpr long long kExcusedMs =
+  3'000; //!< requests sent until then may be cut in the last sixth of graceS
+
+struct Sent
+{
+  std::string id;
+  long long afterMs = 0; //!< after the signal
+  int status = 0;
+  std::string why;
+  bool isSigned = false;
+  long long endMs = 0;
+};
 
 } // namespace
 
@@ -18,60 +37,119 @@
   store.Begin();
   store.Put("config",
             "main",
-            Config(1, { Route("book", "unsafe", "/book/", "booking", kTimeoutMs) }, { Service("booking") }));
-  Node nodes[2];
-  Backend backends[2];
-  for (int i = 0; i < 2; ++i) {
+            Config(1,
+                   { Route("book", "unsafe", "/book/", "booking", kTimeoutMs) },
+                   { Service("booking") }));
+  Node nodes[kNodes];
+  Backend backends[kNodes];
+  for (int i = 0; i < kNodes; ++i) {
     nodes[i].name = "node-" + std::to_string(i + 1);
+    nodes[i].zone = i < kStopped ? "zone-a" : "zone-b";
     nodes[i].service = "booking";
     nodes[i].store = store.port;
     nodes[i].folder = folder.path;
     backends[i].id = "i-" + std::to_string(i + 1);
     backends[i].service = "booking";
+    backends[i].zone = nodes[i].zone;
     backends[i].control = nodes[i].control;
+    backends[i].slots = 10;
+    backends[i].workMs = [](const Message& aRequest) {
+      return aRequest.Target() == "/book/calm" ? 50 : kWorkMs;
+    };
     nodes[i].Start();
     backends[i].Begin();
+    SleepMs(33); // machines start within 0.3 s of each other
   }
-  if (!nodes[0].AwaitReady() || !nodes[1].AwaitReady()) {
-    return CannotRun("the nodes are not ready");
+  for (const Node& it : nodes) {
+    if (!it.AwaitReady()) {
+      return CannotRun("the nodes are not ready");
+    }
   }
   SleepMs(5'000); // beyond contactMs
-  if (CallOnce(nodes[0].callers, Request("POST", "/book/calm", "calm", kTimeoutMs, "x"), 5'000) != 200) {
-    return CannotRun("a request in calm was not served");
+  for (int i = 0; i < kStopped; ++i) {
+    if (CallOnce(nodes[i].callers,
+                 Request("POST", "/book/calm", "calm-" + std::to_string(i), kTimeoutMs),
+                 5'000) != 200) {
+      return CannotRun("a request in calm was not served");
+    }
+  }
+  if (Trouble()) {
+    for (int i = 0; i < kStopped; ++i) {
+      nodes[i].Signal(SIGTERM);
+    }
+    gRecord.Line("SIGTERM to the nodes of zone-a");
   }
-  // The body is a stored message that looks like a request.
-  const std::string body = Request("POST", "/book/inner", "inner", kTimeoutMs);
-  const std::string framing =
-    Trouble() ? std::string("Transfer-Encoding: identity") : "Content-Length: " + std::to_string(body.size());
-  const int fd = Dial(nodes[0].callers);
-  SendAll(fd,
-          "POST /book/outer HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: outer\r\nX-Request-Timeout-Ms: " +
-            std::to_string(kTimeoutMs) + "\r\n" + framing + "\r\n\r\n" + body);
-  gRecord.Line("sent outer with \"" + framing + "\" and a body of " + std::to_string(body.size()) + " bytes");
-  Reader reader(fd);
-  Message answer;
-  while (reader.Next(answer, NowMs() + 3'000)) {
-    gRecord.Line("answer " + std::to_string(answer.Status()) + " to " + answer.Get("X-Request-Id"));
+  const long long stopAt = NowMs();
+  std::thread reaper([&] { // the platform: SIGKILL after graceS
+    SleepUntil(stopAt + nodes[0].graceS * 1'000);
+    if (Trouble()) {
+      for (int i = 0; i < kStopped; ++i) {
+        nodes[i].Kill();
+      }
+    }
+  });
+  std::mutex mutex;
+  std::vector<Sent> sent;
+  std::vector<std::thread> callers;
+  int n = 0;
+  for (long long at = kFirstMs; at <= kLastMs; at += kGapMs) {
+    SleepUntil(stopAt + at);
+    for (int i = 0; i < kStopped; ++i) {
+      ++n;
+      callers.emplace_back([&, n, i] {
+        const Node& node = nodes[i];
+        Sent one;
+        one.id = "book-" + std::to_string(n);
+        const int fd = Dial(node.callers);
+        one.afterMs = NowMs() - stopAt;
+        Reader reader(fd);
+        Message answer;
+        const bool ok = SendAll(fd, Request("POST", "/book/x", one.id, kTimeoutMs)) &&
+                        reader.Next(answer, NowMs() + kTimeoutMs);
+        one.status = ok ? answer.Status() : 0;
+        one.why = ok ? answer.body.substr(0, 40) : reader.WhyEnded();
+        one.isSigned = !answer.Get("X-Response-Signature").empty();
+        one.endMs = NowMs() - stopAt;
+        ::close(fd);
+        const std::lock_guard<std::mutex> lock(mutex);
+        sent.push_back(one);
+      });
+    }
   }
-  ::close(fd);
-  int inner = 0;
-  int changed = 0;
-  int whole = 0;
+  for (std::thread& it : callers) {
+    it.join();
+  }
+  reaper.join();
+  std::set<std::string> ran;
   for (const Backend& it : backends) {
     for (const Run& run : it.Runs()) {
-      inner += run.id == "inner" ? 1 : 0;
-      changed += run.id == "outer" && run.bodyBytes != body.size() ? 1 : 0;
-      whole += run.id == "outer" && run.bodyBytes == body.size() ? 1 : 0;
+      ran.insert(run.id);
     }
   }
-  if (!Trouble() && whole != 1) {
-    return CannotRun("the request was not served without the disruption");
+  int answered = 0;
+  int refused = 0;
+  int excused = 0;
+  int broken = 0;
+  for (const Sent& it : sent) {
+    gRecord.Line(it.id + " sent " + std::to_string(it.afterMs) + " ms after the signal -> " +
+                 std::to_string(it.status) + " after " + std::to_string(it.endMs) +
+                 " ms: " + it.why + (ran.count(it.id) != 0 ? " (was run)" : " (was not run)"));
+    if (it.isSigned) {
+      ++answered;
+    } else if (ran.count(it.id) == 0) {
+      ++refused;
+    } else if (it.afterMs <= kExcusedMs) {
+      ++excused;
+    } else {
+      ++broken;
+    }
   }
   for (Backend& it : backends) {
     it.End();
   }
-  return Verdict(inner + changed != 0,
-                 "the smuggled request was run " + std::to_string(inner) + " times, the outer one " +
-                   std::to_string(changed) + " times without its body and " + std::to_string(whole) +
-                   " times whole");
+  return Verdict(broken != 0,
+                 std::to_string(answered) + " answered, " + std::to_string(refused) +
+                   " refused and not run, " + std::to_string(excused) +
+                   " broken off that were sent within 3 s of the signal, " +
+                   std::to_string(broken) + " broken off that were sent later");
 }
--- a/review/kit-2.h
+++ b/review/kit-2.h
@@ -1,5 +1,6 @@
-// Stand-ins for the scripts of the second review: the platform's store, back ends, a client, a link of a
-// given rate, and a starter of mwsidecar processes. All of them use loopback addresses and the real clock.
+// Stand-ins for the scripts of the second review: the platform's store, back ends, a client, a link
+// of a given rate, and a starter of mwsidecar processes. All of them use loopback addresses and the
+// real clock.
 #pragma once
 
 #include <nlohmann/json.hpp>
@@ -11,6 +12,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/prctl.h>
 #include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
@@ -149,15 +151,19 @@
   return fd;
 }
 
-/** A port that is free now and was not handed out before. */
+/** A port that is free now and was not handed out before. It lies below those that the kernel gives
+ * to outgoing connections, so that none of them takes it before the node listens. */
 inline int FreePort()
 {
-  static std::set<int> taken;
+  constexpr int kFirst = 12'000;
+  constexpr int kCount = 20'000;
+  static int next = static_cast<int>(UnixMs() * 37 + ::getpid() * 101) % kCount;
   for (;;) {
-    int port = 0;
+    next = (std::abs(next) + 1) % kCount;
+    int port = kFirst + next;
     const int fd = Listen(port);
-    ::close(fd);
-    if (taken.insert(port).second) {
+    if (fd >= 0) {
+      ::close(fd);
       return port;
     }
   }
@@ -415,6 +421,8 @@
 class Store : public Server
 {
 public:
+  ~Store() override { Stop(); }
+
   bool Begin()
   {
     return Start([this](int aFd) { Serve(aFd); });
@@ -431,7 +439,12 @@
   }
 
 protected:
-  void OnStop() override { mChanged.notify_all(); }
+  void OnStop() override
+  {
+    // A watch that is about to wait must not miss it.
+    const std::lock_guard<std::mutex> lock(mMutex);
+    mChanged.notify_all();
+  }
 
 private:
   struct Event
@@ -470,7 +483,8 @@
     std::size_t at = aTarget.find('?');
     while (at != std::string::npos) {
       const std::size_t next = aTarget.find('&', at + 1);
-      const std::string pair = aTarget.substr(at + 1, next == std::string::npos ? next : next - at - 1);
+      const std::string pair =
+        aTarget.substr(at + 1, next == std::string::npos ? next : next - at - 1);
       query[pair.substr(0, pair.find('='))] = pair.substr(pair.find('=') + 1);
       at = next;
     }
@@ -603,7 +617,8 @@
   std::size_t bodyBytes;
 };
 
-/** A sound back end: it runs requests, tells its node that it lives, and answers 421 for another instance. */
+/** A sound back end: it runs requests, tells its node that it lives, and answers 421 for another
+ * instance. */
 class Backend : public Server
 {
 public:
@@ -652,15 +667,16 @@
   /** @return whether the node acknowledged it */
   bool Beat()
   {
-    const json body{ { "address", Text(port) },
-                     { "born", born },
-                     { "info",
-                       { { "service", service }, { "version", "v1" }, { "zone", zone }, { "slots", slots } } },
-                     { "status",
-                       { { "state", draining ? "draining" : "ready" },
-                         { "seq", ++mSeq },
-                         { "warmupLeftMs", 0 } } } };
-    return CallOnce(control, Post("/api/instances/" + id + "/heartbeat", body.dump()), 1'000) == 200;
+    const json body{
+      { "address", Text(port) },
+      { "born", born },
+      { "info",
+        { { "service", service }, { "version", "v1" }, { "zone", zone }, { "slots", slots } } },
+      { "status",
+        { { "state", draining ? "draining" : "ready" }, { "seq", ++mSeq }, { "warmupLeftMs", 0 } } }
+    };
+    return CallOnce(control, Post("/api/instances/" + id + "/heartbeat", body.dump()), 1'000) ==
+           200;
   }
 
   std::vector<Run> Runs() const
@@ -693,15 +709,17 @@
       const std::string expected = request.Get("X-Expected-Instance");
       if (!expected.empty() && expected != id) {
         gRecord.Line(id + " answers 421 to " + requestId);
-        SendAll(aFd, "HTTP/1.1 421 Misdirected\r\n" + head + "X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+        SendAll(aFd,
+                "HTTP/1.1 421 Misdirected\r\n" + head +
+                  "X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
         continue;
       }
       {
         const std::lock_guard<std::mutex> lock(mMutex);
         mRuns.push_back({ NowMs(), requestId, request.first, request.body.size() });
       }
-      gRecord.Line(id + " of service " + service + " runs " + requestId + ": " + request.first + ", body " +
-                   std::to_string(request.body.size()) + " bytes");
+      gRecord.Line(id + " of service " + service + " runs " + requestId + ": " + request.first +
+                   ", body " + std::to_string(request.body.size()) + " bytes");
       const long long end = NowMs() + workMs(request);
       while (IsRunning() && NowMs() < end) {
         SleepMs(std::min(20LL, end - NowMs()));
@@ -733,6 +751,8 @@
 class Link : public Server
 {
 public:
+  ~Link() override { Stop(); }
+
   int target = 0;
   double megabitsPerSecond = 10;
 
@@ -775,7 +795,8 @@
 
 // ---- nodes
 
-/** A process of mwsidecar, started with the command of the deploy file and a rendered settings file. */
+/** A process of mwsidecar, started with the command of the deploy file and a rendered settings
+ * file. */
 class Node
 {
 public:
@@ -820,12 +841,14 @@
     WriteSettings();
     mPid = ::fork();
     if (mPid == 0) {
+      ::prctl(PR_SET_PDEATHSIG, SIGKILL); // the process must not outlive the script
       ::setenv("MUSTARDWINCH_CONFIG", Path().c_str(), 1);
       rlimit limit{};
       ::getrlimit(RLIMIT_NOFILE, &limit);
       limit.rlim_cur = std::min<rlim_t>(limit.rlim_max, static_cast<rlim_t>(descriptors));
       ::setrlimit(RLIMIT_NOFILE, &limit); // of this process only, as the platform grants them
-      const int log = ::open((folder + "/" + name + ".log").c_str(), O_CREAT | O_APPEND | O_WRONLY, 0644);
+      const int log =
+        ::open((folder + "/" + name + ".log").c_str(), O_CREAT | O_APPEND | O_WRONLY, 0644);
       ::dup2(log, STDOUT_FILENO);
       ::dup2(log, STDERR_FILENO);
       ::execl("target/mwsidecar", "target/mwsidecar", static_cast<char*>(nullptr));
@@ -895,8 +918,9 @@
 
 inline json Service(const std::string& aName)
 {
-  return { { "name", aName },          { "healthPath", "/healthz" }, { "maxConnections", 390 },
-           { "protocol", "h1" },       { "tls", false },             { "warmupS", 3.0 },
+  return { { "name", aName },         { "healthPath", "/healthz" },
+           { "maxConnections", 390 }, { "protocol", "h1" },
+           { "tls", false },          { "warmupS", 3.0 },
            { "warmupPerS", 43.0 } };
 }
 
@@ -912,10 +936,13 @@
            { "priority", 1 },
            { "allowAnonymous", true },
            { "match", { { "pathPrefix", aPrefix } } },
-           { "action", { { "service", aService }, { "timeoutMs", aTimeoutMs }, { "maxAttempts", 2 } } } };
+           { "action",
+             { { "service", aService }, { "timeoutMs", aTimeoutMs }, { "maxAttempts", 2 } } } };
 }
 
-inline json Config(int aVersion, const std::vector<json>& aRoutes, const std::vector<json>& aServices)
+inline json Config(int aVersion,
+                   const std::vector<json>& aRoutes,
+                   const std::vector<json>& aServices)
 {
   return { { "version", "r" + std::to_string(aVersion) },
            { "limits",
