Planned stop: each request is checked as it is read, not from the next tick on

Cause: the limit after which a stopping node takes nothing was put in force by SidecarNode::Tick(), every 100 ms. What was read between the limit and that tick got in by its head and whole.

Fix: StopSchedule decides for each head of a large body and each whole request at the moment it is read. It takes all of them until a quarter of a second before 3 s (or half of the grace, if that is sooner), as a busy process handles the signal later than it was sent. After that it takes those whose deadline lies before the node's final answers, and from half of the grace on none, as before. The middle rule is new where half of the grace is more than 3 s: there a request of 3 to 5 s after the signal could be cut with a grace of 10 s. The grace is the one in force when the signal came. A request that matches no route or no key is told so also late in a stop.

--- a/src/sidecar/Exchange.cpp
+++ b/src/sidecar/Exchange.cpp
@@ -3,11 +3,11 @@
 #include "http/HttpText.h"
 #include "ingress/ForwardHeaders.h"
 #include "mustardwinch/Event.h"
+#include "sidecar/RequestDeadline.h"
 #include "sidecar/RouteMatch.h"
 
 #include <algorithm>
 #include <array>
-#include <charconv>
 #include <cstdio>
 #include <utility>
 
@@ -46,13 +46,6 @@
   return buf.data();
 }
 
-std::optional<Milliseconds> ParseMilliseconds(std::string_view aText)
-{
-  std::int64_t n = 0;
-  const auto result = std::from_chars(aText.data(), aText.data() + aText.size(), n);
-  return result.ec == std::errc() && n > 0 ? std::optional(Milliseconds(n)) : std::nullopt;
-}
-
 } // namespace
 
 Exchange::Exchange(Ingress& aIngress, std::shared_ptr<HttpSession> aSession, HttpRequest aRequest)
@@ -78,10 +71,6 @@
 {
   mSession->OnGone([self = shared_from_this()] { self->OnCallerDisconnected(); });
   mRequestId = std::string(HeaderValue(mRequest.headers, mServices.names.requestId));
-  if (!mIngress.mAccepting) {
-    Fail(503, "node-stopping", kDefaultRetryAfter);
-    return;
-  }
   mRouting = mServices.routing();
   if (!mRouting) {
     Fail(503, "no-configuration", kDefaultRetryAfter);
@@ -103,10 +92,12 @@
     Fail(match.refusal, match.why, match.refusal == 503 ? kDefaultRetryAfter : Milliseconds(0));
     return false;
   }
+  mDeadline = DeadlineOf(mRequest, *mRoute, mServices.names, mStartTime);
+  if (!mIngress.MayTake(mDeadline)) {
+    Fail(503, "node-stopping", kDefaultRetryAfter);
+    return false;
+  }
   const std::string key(HeaderValue(mRequest.headers, mServices.names.key));
-  const auto callerTimeout =
-    ParseMilliseconds(HeaderValue(mRequest.headers, mServices.names.remaining));
-  mDeadline = mStartTime + std::min(mRoute->timeout, callerTimeout.value_or(mRoute->timeout));
   mService = mIngress.ChooseTargetOf(*mRoute);
   mForNewVersion = mServices.drawNewVersion(mService);
   mPlacement.service = mService;
--- a/src/sidecar/Ingress.cpp
+++ b/src/sidecar/Ingress.cpp
@@ -2,6 +2,7 @@
 
 #include "http/HttpText.h"
 #include "sidecar/Exchange.h"
+#include "sidecar/RequestDeadline.h"
 #include "sidecar/RouteMatch.h"
 #include "sidecar/TrafficSplit.h"
 
@@ -30,15 +31,20 @@
 std::optional<HttpAnswer> Ingress::CheckHead(const HttpRequest& aHead)
 {
   const auto routing = mServices.routing();
-  const RouteMatch match =
-    routing ? MatchRequest(*routing, mServices.names, aHead, mServices.mayAcceptKeys())
-            : RouteMatch{ .refusal = 503, .why = "no-configuration" };
-  if (match.refusal == 0 && mAccepting) {
+  RouteMatch match = routing
+                       ? MatchRequest(*routing, mServices.names, aHead, mServices.mayAcceptKeys())
+                       : RouteMatch{ .refusal = 503, .why = "no-configuration" };
+  if (match.refusal == 0 &&
+      !MayTake(DeadlineOf(aHead, *match.route, mServices.names, mServices.clock.Now()))) {
+    match.refusal = 503;
+    match.why = "node-stopping";
+  }
+  if (match.refusal == 0) {
     return std::nullopt;
   }
-  const unsigned status = mAccepting ? match.refusal : 503;
+  const unsigned status = match.refusal;
   ++mStatusCounts[status];
-  HttpAnswer answer = MakeTextAnswer(status, mAccepting ? match.why : "node-stopping");
+  HttpAnswer answer = MakeTextAnswer(status, match.why);
   const std::string_view id = HeaderValue(aHead.headers, mServices.names.requestId);
   if (!id.empty()) {
     answer.headers.push_back({ mServices.names.requestId, std::string(id) });
@@ -49,6 +55,11 @@
   return answer;
 }
 
+bool Ingress::MayTake(TimePoint aDeadline) const
+{
+  return !mStop || mStop->MayTake(mServices.clock.Now(), aDeadline);
+}
+
 void Ingress::AnswerOpenRequests()
 {
   const std::set<Exchange*> open = *mOpen;
--- a/src/sidecar/Ingress.h
+++ b/src/sidecar/Ingress.h
@@ -5,6 +5,7 @@
 #include "http/HttpSession.h"
 #include "placement/PlacementPolicy.h"
 #include "sidecar/IngressServices.h"
+#include "sidecar/StopSchedule.h"
 
 #include <cstdint>
 #include <map>
@@ -29,8 +30,9 @@
   /** Refuses a request with a large body by its head; nothing if the body may be read. */
   std::optional<HttpAnswer> CheckHead(const HttpRequest& aHead);
 
-  /** Refuses new requests from now on, as not run; open ones continue. */
-  void StopAccepting() { mAccepting = false; }
+  /** Refuses, as not run, each request that the schedule of a stop does not let in; open ones
+   * continue. */
+  void Stop(const StopSchedule& aSchedule) { mStop = aSchedule; }
 
   /** Answers all open requests because the process is about to exit; those that certainly have not
    * run are answered as not run. */
@@ -44,6 +46,9 @@
 private:
   friend class Exchange;
 
+  /** Whether a stop lets in a request that is read now. */
+  bool MayTake(TimePoint aDeadline) const;
+
   const std::string& ChooseTargetOf(const TrafficRoute& aRoute);
 
   /** Exponentially smoothed body size of a route's answers. */
@@ -57,7 +62,7 @@
   std::map<std::string, double> mAnswerBytes;   //!< by route
   std::map<unsigned, std::uint64_t> mStatusCounts;
   LatencyHistograms mLatencies{ "mw_request_seconds" };
-  bool mAccepting = true;
+  std::optional<StopSchedule> mStop;          //!< nothing: the node is not stopping
   std::shared_ptr<std::set<Exchange*>> mOpen; //!< shared because exchanges may outlive the ingress
 };
 
--- a/src/sidecar/SidecarNode.cpp
+++ b/src/sidecar/SidecarNode.cpp
@@ -25,16 +25,6 @@
 /** Time for the links to connect after the members are known. */
 constexpr Milliseconds kLinkSetupTime{ 300 };
 
-/** The platform polls readiness every second and needs two failures, so new callers arrive until
- * then. */
-constexpr Milliseconds kMinStopTime{ 3'200 };
-
-/** Time between the exit and the end of the grace period, so that the exit is orderly. */
-constexpr Milliseconds kStopMargin{ 250 };
-
-/** Time between the last answers and the exit, so that they reach callers on slow links. */
-constexpr Milliseconds kFinalAnswerTime{ 400 };
-
 /** Minimum time between watches of the members, so that several changes are fetched at once. Nodes
  * that start introduce themselves to their peers, so the delay does no harm. Two nodes that listed
  * the members at the same moment do not know each other, so the gap is skipped after this node's
@@ -143,7 +133,7 @@
 
 bool SidecarNode::IsReady() const
 {
-  if (mStopping || !mState.Routing()) {
+  if (mStop || !mState.Routing()) {
     return false;
   }
   const std::size_t live = mLinks.LiveVms().size();
@@ -245,16 +235,10 @@
              { { "lines", std::to_string(DroppedLogLines() - mDroppedLines) } });
     mDroppedLines = DroppedLogLines();
   }
-  if (mStopping && mClock.Now() - mStopBegin >= mSettings.stopGrace / 2) {
-    // Callers keep sending requests as long as most nodes of the domain are not ready. A request
-    // that arrives this late could be cut off by the end of the grace period.
-    mIngress.StopAccepting();
-  }
-  if (mStopping &&
-      mClock.Now() - mStopBegin >= mSettings.stopGrace - kStopMargin - kFinalAnswerTime) {
+  if (mStop && mClock.Now() >= mStop->FinalAnswers()) {
     mIngress.AnswerOpenRequests();
   }
-  if (mStopping && IsReadyToExit()) {
+  if (mStop && IsReadyToExit()) {
     LogEvent(LogLevel::kInfo,
              Event::kProcessStopped,
              { { "vm", mSettings.vmName },
@@ -304,11 +288,11 @@
 
 void SidecarNode::Stop()
 {
-  if (mStopping) {
+  if (mStop) {
     return;
   }
-  mStopping = true;
-  mStopBegin = mClock.Now();
+  mStop.emplace(mClock.Now(), mSettings.stopGrace);
+  mIngress.Stop(*mStop);
   LogEvent(LogLevel::kInfo,
            Event::kProcessStopping,
            { { "vm", mSettings.vmName },
@@ -325,7 +309,7 @@
  */
 bool SidecarNode::IsReadyToExit()
 {
-  const bool isLate = mClock.Now() - mStopBegin >= mSettings.stopGrace - kStopMargin;
+  const bool isLate = mClock.Now() >= mStop->LatestExit();
   if (isLate || !MayExit() || !mGate.HasLostUpstream()) {
     return MayExit();
   }
@@ -338,14 +322,14 @@
 
 bool SidecarNode::MayExit() const
 {
-  const Duration elapsed = mClock.Now() - mStopBegin;
-  if (elapsed >= mSettings.stopGrace - kStopMargin) {
+  const TimePoint now = mClock.Now();
+  if (now >= mStop->LatestExit()) {
     return true;
   }
   const bool idle = mIngress.Open() == 0 && mGate.Running() == 0;
   const bool sent = mCallers.Sending() == 0 && mServer.Sending() == 0;
   const bool received = mCallers.Receiving() == 0; // the rest is refused, not cut off
-  return elapsed >= kMinStopTime && idle && sent && received;
+  return now >= mStop->EarliestExit() && idle && sent && received;
 }
 
 } // namespace mustardwinch
--- a/src/sidecar/SidecarNode.h
+++ b/src/sidecar/SidecarNode.h
@@ -15,6 +15,7 @@
 #include "sidecar/RateTokenBroker.h"
 #include "sidecar/RolloutAgent.h"
 #include "sidecar/SidecarSettings.h"
+#include "sidecar/StopSchedule.h"
 #include "store/KindWatcher.h"
 #include "store/ObjectStore.h"
 
@@ -154,11 +155,10 @@
   std::uint64_t mStoredConfigRevision = 0; //!< of the configuration as the store last told it
   bool mStoreHasCurrent = true;   //!< the store's configuration is no older than the one in effect
   TimePoint mMembersKnownSince{}; //!< when the members became known; the epoch if they are not
-  TimePoint mStopBegin{};
+  std::optional<StopSchedule> mStop; //!< nothing: the node is not stopping
   std::uint64_t mTicks = 0;
   std::uint64_t mDroppedLines = 0;
   bool mWasReady = false;
-  bool mStopping = false;
   bool mLeaving = false; //!< the entry among the members is being removed
   bool mHasLeft = false; //!< it has been removed
 };
--- a/tests/sidecar/PlannedStopTest.cpp
+++ b/tests/sidecar/PlannedStopTest.cpp
@@ -5,6 +5,8 @@
 
 #include <algorithm>
 #include <array>
+#include <map>
+#include <memory>
 #include <string>
 
 using namespace mustardwinch;
@@ -17,11 +19,11 @@
 /** A caller of a node that is stopped while it sends large answers. */
 struct StoppedNode : SidecarFleet
 {
-  StoppedNode()
+  explicit StoppedNode(Seconds aGrace = Seconds(7))
     : socket(loop)
   {
     Kill(members[0]);
-    members[0].settings.stopGrace = Seconds(7);
+    members[0].settings.stopGrace = aGrace;
     Boot(members[0]);
     REQUIRE(
       RunUntil([&] { return Get(members[0].settings.readiness, "/api/ready").status == 200; }));
@@ -67,12 +69,63 @@
     ended = ended || (ec && ec != boost::asio::error::would_block);
   }
 
+  /** Lets requests of the route last longer than any grace period here. */
+  void AllowLongRequests()
+  {
+    config["listeners"][0]["rules"][1]["action"]["timeoutMs"] = 20'000;
+    config["version"] = "r4";
+    store.Put("config", "main", config);
+    RunUntil([] { return false; }, Seconds(1));
+  }
+
+  /** Stops the node and runs the fleet for a while from then on. */
+  void StopAndWait(Milliseconds aTime)
+  {
+    members[0].node->Stop();
+    RunUntil([] { return false; }, aTime);
+  }
+
+  /** Sends a request on a connection of its own; its answer is added to the answers. */
+  void SendApart(const std::string& aId, Milliseconds aTimeLeft)
+  {
+    const HttpRequest request{ "POST",
+                               "/unsafe/1",
+                               { { "Host", "shop.example" },
+                                 { "X-Request-Id", aId },
+                                 { "X-Api-Key", "k-org" },
+                                 { "X-Request-Timeout-Ms", std::to_string(aTimeLeft.count()) } },
+                               "" };
+    const auto channel = std::make_shared<HttpChannel>(loop);
+    channel->Connect(members[0].settings.callers, [=, this](const boost::system::error_code&) {
+      channel->Exchange(FormatRequest(request, "h"), 1 << 20, false, nullptr, [=, this](auto aEnd) {
+        answers[aId] = aEnd.error ? HttpAnswer{} : aEnd.answer;
+      });
+    });
+  }
+
   static constexpr std::size_t kBeginBytes = 512;
 
   tcp::socket socket;
   std::size_t received = 0;
   std::string begin; //!< first bytes of what was received
   bool ended = false;
+  std::map<std::string, HttpAnswer> answers; //!< by id of the request
+};
+
+struct NodeWithUsualGrace : StoppedNode
+{
+  NodeWithUsualGrace()
+    : StoppedNode(Seconds(6))
+  {
+  }
+};
+
+struct NodeWithLongGrace : StoppedNode
+{
+  NodeWithLongGrace()
+    : StoppedNode(Seconds(8))
+  {
+  }
 };
 
 } // namespace
@@ -139,13 +192,59 @@
   CHECK(ReceivedRequests() == 0);
 }
 
+// Guards against a limit that is put in force by the next periodic check: what arrived before it
+// was run and then cut by the end of the grace period.
+TEST_CASE_FIXTURE(NodeWithUsualGrace,
+                  "Planned stop, requests right after half of the grace, none of them is run")
+{
+  for (Member& it : members) {
+    it.upstream->hang = true;
+  }
+  AllowLongRequests();
+  SendApart("open", Seconds(20)); // the node does not end before its grace
+  REQUIRE(RunUntil([&] { return ReceivedRequests() == 1; }));
+  const auto half = std::chrono::steady_clock::now() + Seconds(3);
+  StopAndWait(Milliseconds(2'900));
+  REQUIRE(RunUntil([&] { return std::chrono::steady_clock::now() >= half; }));
+  Send(Request(std::string(200'000, 'u')).substr(0, 100'000)); // refused by its head
+  for (int i = 0; i < 30; ++i) {
+    SendApart("late-" + std::to_string(i), Seconds(6));
+    RunUntil([] { return false; }, Milliseconds(4));
+  }
+  REQUIRE(RunUntil([&] { return answers.size() == 30; }, Seconds(1)));
+  for (const auto& [id, answer] : answers) {
+    CHECK_MESSAGE(answer.status == 503, id);
+  }
+  Read();
+  CHECK(begin.starts_with("HTTP/1.1 503"));
+  CHECK(ReceivedRequests() == 1);
+}
+
+// Guards against a long grace period whose half lies beyond the time in which callers still arrive
+// without knowing of the stop.
+TEST_CASE_FIXTURE(
+  NodeWithLongGrace,
+  "Planned stop, request before half of the grace, is run only if it ends in the grace")
+{
+  for (Member& it : members) {
+    it.upstream->largeAnswer = false;
+  }
+  AllowLongRequests();
+  StopAndWait(Milliseconds(3'050));
+  SendApart("long", Seconds(20));
+  SendApart("short", Seconds(2));
+  REQUIRE(RunUntil([&] { return answers.size() == 2; }, Seconds(2)));
+  CHECK(answers["long"].status == 503);
+  CHECK(FindHeader(answers["long"].headers, "Retry-After") != nullptr);
+  CHECK(answers["short"].status == 200);
+  CHECK(ReceivedRequests() == 1);
+}
+
 TEST_CASE_FIXTURE(
   StoppedNode,
   "Planned stop, another node takes a large result slowly, its caller gets it whole")
 {
-  config["listeners"][0]["rules"][1]["action"]["timeoutMs"] = 20'000;
-  config["version"] = "r4";
-  store.Put("config", "main", config);
+  AllowLongRequests();
   // The only upstream that is up is beside the node that stops.
   for (std::size_t i = 1; i < members.size(); ++i) {
     CHECK(Announce(members[i], "draining") == 200);
