Gate: a call whose body is on its way is checked again when the body comes

Service, leaving, evacuation and version of the upstream were checked when the call came and when it left the queue; ProvideBody() sent it whenever its body was whole, to whatever had the address by then, and named the newcomer as the instance that it expects.

Fix: RestrictionOn() holds what binds a request at the moment it would be sent, and is asked when a body is whole and with each part, so that the rest isn't sent in vain. The call is refused as not run; the ingress still has the body. A stop of the gate's node doesn't refuse it, as before: it has its slot.

--- a/src/sidecar/Gate.cpp
+++ b/src/sidecar/Gate.cpp
@@ -129,11 +129,8 @@
   }
 }
 
-std::optional<ResultCode> Gate::RefusalReason(const GateCall& aCall) const
+std::optional<ResultCode> Gate::RestrictionOn(const GateCall& aCall) const
 {
-  if (!mAccepting) {
-    return ResultCode::kNodeStopping;
-  }
   if (!mState.IsKnown() || mState.Current().service != aCall.service) {
     return ResultCode::kGateUpstreamUnknown;
   }
@@ -152,6 +149,17 @@
   if (mClock.Now() < mDownUntil) {
     return ResultCode::kGateConnectFailed;
   }
+  return std::nullopt;
+}
+
+std::optional<ResultCode> Gate::RefusalReason(const GateCall& aCall) const
+{
+  if (!mAccepting) {
+    return ResultCode::kNodeStopping;
+  }
+  if (const auto restriction = RestrictionOn(aCall)) {
+    return restriction;
+  }
   const UpstreamTrust trust = Trust();
   if (!aCall.lastResort && trust != UpstreamTrust::kTrusted) {
     if (!aCall.idempotent || trust != UpstreamTrust::kTrialDue) {
--- a/src/sidecar/Gate.h
+++ b/src/sidecar/Gate.h
@@ -160,6 +160,8 @@
 
   using ActivePtr = std::shared_ptr<ActiveCall>;
 
+  /** Why the upstream may be sent no such request now, whenever the request came. */
+  std::optional<ResultCode> RestrictionOn(const GateCall& aCall) const;
   std::optional<ResultCode> RefusalReason(const GateCall& aCall) const;
   bool CanStartNow(const GateCall& aCall) const;
 
@@ -179,6 +181,10 @@
   void Start(Ticket aTicket, QueuedCall aQueued);
   void Send(Ticket aTicket, const ActivePtr& aActive);
   void AwaitBody(Ticket aTicket, const ActivePtr& aActive);
+
+  /** Refuses a call that waits for its body and may no longer be sent. @return whether it did */
+  bool RefuseIfRestricted(Ticket aTicket, const ActivePtr& aActive);
+  void RefuseBeforeBody(Ticket aTicket, const ActivePtr& aActive, ResultCode aReason);
   void Connect(Ticket aTicket, const ActivePtr& aActive);
   void SendRequest(Ticket aTicket, const ActivePtr& aActive);
   void OnResponse(Ticket aTicket, const ActivePtr& aActive, HttpChannelResult aResult);
--- a/src/sidecar/GateBodies.cpp
+++ b/src/sidecar/GateBodies.cpp
@@ -17,8 +17,12 @@
 void Gate::OnBodyPart(Ticket aTicket)
 {
   const auto it = mRunning.find(aTicket);
-  if (it != mRunning.end() && it->second->call.bodyFollows) {
-    AwaitBody(aTicket, it->second);
+  if (it == mRunning.end() || !it->second->call.bodyFollows) {
+    return;
+  }
+  const ActivePtr active = it->second;
+  if (!RefuseIfRestricted(aTicket, active)) {
+    AwaitBody(aTicket, active);
   }
 }
 
@@ -29,13 +33,31 @@
     if (aError || !aActive->call.bodyFollows || mRunning.count(aTicket) == 0) {
       return; // the body arrived, or the call ended
     }
-    GateCallResult result;
-    result.outcome = CallOutcome::kRefused;
-    result.reason = ResultCode::kLinkTimeout;
-    Finish(aTicket, aActive, std::move(result));
+    RefuseBeforeBody(aTicket, aActive, ResultCode::kLinkTimeout);
   });
 }
 
+/**
+ * Load pattern: uploads over slow links are on their way for seconds, in which upstreams leave, are
+ * evacuated, or lose their address to one of another service.
+ */
+bool Gate::RefuseIfRestricted(Ticket aTicket, const ActivePtr& aActive)
+{
+  const auto reason = RestrictionOn(aActive->call);
+  if (reason) {
+    RefuseBeforeBody(aTicket, aActive, *reason);
+  }
+  return reason.has_value();
+}
+
+void Gate::RefuseBeforeBody(Ticket aTicket, const ActivePtr& aActive, ResultCode aReason)
+{
+  GateCallResult result;
+  result.outcome = CallOutcome::kRefused;
+  result.reason = aReason;
+  Finish(aTicket, aActive, std::move(result));
+}
+
 void Gate::ProvideBody(Ticket aTicket, std::string aBody)
 {
   const auto it = mRunning.find(aTicket);
@@ -43,6 +65,9 @@
     return;
   }
   const ActivePtr active = it->second;
+  if (RefuseIfRestricted(aTicket, active)) {
+    return;
+  }
   active->call.request.body = std::move(aBody);
   active->call.bodyFollows = false;
   const TimePoint now = mClock.Now();
--- a/tests/sidecar/GateTest.cpp
+++ b/tests/sidecar/GateTest.cpp
@@ -21,7 +21,7 @@
     return { [this](const std::string&) -> std::optional<double> {
               return configured ? std::optional(coldPerSecond) : std::nullopt;
             },
-             [](const std::string&) { return false; },
+             [this](const std::string&) { return evacuated; },
              [](bool) {},
              [](const std::string&) { return std::string("/h"); } };
   }
@@ -97,6 +97,7 @@
 
   int bodiesWanted = 0;
   bool configured = true;
+  bool evacuated = false;
   double coldPerSecond = 0;
   std::optional<GateCallResult> first;
   std::optional<GateCallResult> second;
@@ -155,6 +156,78 @@
   CHECK(upstream.requests.size() == 1);
 }
 
+// Guards against a request that was let in before the upstream left and is sent seconds later, when
+// its body has come.
+TEST_CASE_FIXTURE(GateFixture,
+                  "Gate, upstream leaves while a body is on its way, refused as not run")
+{
+  const Gate::Ticket ticket = SubmitWithoutBody("q-1", first);
+  gate.Leave("i-0", 1'000);
+  gate.ProvideBody(ticket, "photograph");
+  RunUntil([&] { return first.has_value(); });
+  REQUIRE(first);
+  CHECK(first->outcome == CallOutcome::kRefused);
+  CHECK_FALSE(first->reached);
+  CHECK(first->reason == ResultCode::kGateDraining);
+  CHECK(gate.Running() == 0);
+  CHECK(upstream.requests.empty());
+}
+
+TEST_CASE_FIXTURE(GateFixture,
+                  "Gate, upstream leaves while parts of a body come, refused before the last one")
+{
+  const Gate::Ticket ticket = SubmitWithoutBody("q-1", first);
+  gate.OnBodyPart(ticket);
+  CHECK_FALSE(first);
+  gate.Leave("i-0", 1'000);
+  gate.OnBodyPart(ticket);
+  REQUIRE(first);
+  CHECK(first->reason == ResultCode::kGateDraining);
+  gate.ProvideBody(ticket, "late"); // the parts that were on their way
+  CHECK(gate.Running() == 0);
+  CHECK(upstream.requests.empty());
+}
+
+TEST_CASE_FIXTURE(GateFixture,
+                  "Gate, domain evacuated while a body is on its way, refused as not run")
+{
+  const Gate::Ticket ticket = SubmitWithoutBody("q-1", first);
+  evacuated = true;
+  gate.OnRestriction();
+  gate.ProvideBody(ticket, "photograph");
+  RunUntil([&] { return first.has_value(); });
+  REQUIRE(first);
+  CHECK(first->reason == ResultCode::kGateEvacuated);
+  CHECK_FALSE(first->reached);
+  CHECK(upstream.requests.empty());
+}
+
+// Guards against an address that was used again: the newcomer would run a request of another
+// service, and the caller would take its answer for a success.
+TEST_CASE_FIXTURE(GateFixture,
+                  "Gate, another service takes the address while a body is on its way, refused")
+{
+  const Gate::Ticket ticket = SubmitWithoutBody("q-1", first);
+  upstream.instance = "i-9";
+  gate.Announce({ "i-9", "dispatch", upstream.address, "a", 1, false, 2'000, 1 });
+  gate.ProvideBody(ticket, "photograph");
+  RunUntil([&] { return first.has_value(); });
+  REQUIRE(first);
+  CHECK(first->reason == ResultCode::kGateUpstreamUnknown);
+  CHECK_FALSE(first->reached);
+  CHECK(upstream.requests.empty());
+}
+
+TEST_CASE_FIXTURE(GateFixture, "Gate, stops while a body is on its way, the request is still run")
+{
+  const Gate::Ticket ticket = SubmitWithoutBody("q-1", first);
+  gate.StopAccepting();
+  gate.ProvideBody(ticket, "photograph");
+  RunUntil([&] { return first.has_value(); });
+  REQUIRE(first);
+  CHECK(first->outcome == CallOutcome::kAnswered);
+}
+
 TEST_CASE_FIXTURE(GateFixture, "Gate, cancelled before the body arrives, the slot is freed")
 {
   const Gate::Ticket ticket = SubmitWithoutBody("q-1", first);
