Planned stop: the grace that holds is read when the signal comes

Cause: the settings file is looked at once a second, and SIGTERM didn't look. Fix: Stop() reads it first. A stop that has begun keeps its grace from then on, whatever the file says later. Test: "Planned stop, grace shortened just before, the node ends within it" failed before (not ended within 4 s, 1 of 1 run) and passes.

--- a/src/sidecar/SidecarNode.cpp
+++ b/src/sidecar/SidecarNode.cpp
@@ -291,6 +291,7 @@
   if (mStop) {
     return;
   }
+  Reload(); // the grace period that holds now
   mStop.emplace(mClock.Now(), mSettings.stopGrace);
   mIngress.Stop(*mStop);
   LogEvent(LogLevel::kInfo,
--- a/tests/sidecar/PlannedStopTest.cpp
+++ b/tests/sidecar/PlannedStopTest.cpp
@@ -220,6 +220,23 @@
   CHECK(ReceivedRequests() == 1);
 }
 
+// Guards against a stop by the settings of up to a second ago: the process would be killed with
+// requests open.
+TEST_CASE_FIXTURE(StoppedNode, "Planned stop, grace shortened just before, the node ends within it")
+{
+  for (Member& it : members) {
+    it.upstream->hang = true;
+  }
+  AllowLongRequests();
+  SendApart("open", Seconds(20));
+  REQUIRE(RunUntil([&] { return ReceivedRequests() == 1; }));
+  members[0].changed = members[0].settings;
+  members[0].changed->stopGrace = Seconds(4);
+  members[0].node->Stop();
+  CHECK(RunUntil([&] { return members[0].loop->stopped(); }, Seconds(4)));
+  CHECK(answers["open"].status == 502);
+}
+
 // Guards against a long grace period whose half lies beyond the time in which callers still arrive
 // without knowing of the stop.
 TEST_CASE_FIXTURE(
--- a/tests/sidecar/SidecarFleet.h
+++ b/tests/sidecar/SidecarFleet.h
@@ -33,7 +33,8 @@
       loop; //!< event loop of the node, destroyed with it as a process would be
     std::unique_ptr<SidecarNode> node;
     std::uint64_t sequence = 0;
-    std::string version = "v1"; //!< of the upstream
+    std::string version = "v1";             //!< of the upstream
+    std::optional<SidecarSettings> changed; //!< what the settings file holds since it was changed
   };
 
   static constexpr int kNodes = 3;
@@ -102,7 +103,7 @@
       *aMember.loop,
       aMember.settings,
       platform::MakePlatformBinding(*aMember.loop, aMember.settings.platform),
-      [] { return std::optional<SidecarSettings>(); });
+      [&aMember] { return aMember.changed; });
     REQUIRE(aMember.node->Start());
   }
 
