Rates: a lowered rate binds the advances that a node has counted out before

While an owner is silent again and again, a node takes advances of a part that was counted out under the rate of that time. Cause: LocalRateShares::TakeAdvance() looked at the rate only when it counted out anew, a window after the last advance. Fix: each advance is held to the present part as well. With an unchanged rate nothing differs, since a part is never rounded up further.

--- a/src/quota/LocalRateShares.cpp
+++ b/src/quota/LocalRateShares.cpp
@@ -90,9 +90,11 @@
                                          Entry& aEntry,
                                          const Organisation& aOrganisation)
 {
+  const double part = OverrunPart(aOrganisation) / Nodes();
   if (aEntry.advanceUsed == TimePoint{} || aNow - aEntry.advanceUsed > mSettings.window) {
-    aEntry.advances = RoundAtRandom(OverrunPart(aOrganisation) / Nodes());
+    aEntry.advances = RoundAtRandom(part);
   }
+  aEntry.advances = std::min(aEntry.advances, std::ceil(part)); // the rate may have been lowered
   if (aEntry.advances < 1) {
     return { RateVerdict::Kind::kExceeded, kAdvanceWait, {} };
   }
--- a/tests/quota/RateOwnerTest.cpp
+++ b/tests/quota/RateOwnerTest.cpp
@@ -538,6 +538,30 @@
   CHECK(shares.Take(now, organisation, false).kind == RateVerdict::Kind::kGranted);
 }
 
+// Guards against a limit that is put in force only when the advances are counted out anew, which
+// steady use of them puts off.
+TEST_CASE("LocalRateShares, rate lowered while advances are used, the lower rate holds at once")
+{
+  Organisation organisation;
+  organisation.name = "org";
+  organisation.ratePerSecond = 500;
+  organisation.burst = 500;
+  LocalRateShares shares("vm-0", RateSettings{ 0, 0.2, Milliseconds(5'000) });
+  TimePoint now{ Seconds(1'000) };
+  shares.SetFleet({ { "vm-0" }, 10, 10, now, kDetection, false });
+  REQUIRE(shares.Take(now, organisation, false).kind == RateVerdict::Kind::kGranted);
+  organisation.ratePerSecond = 5;
+  organisation.burst = 5;
+  now += Seconds(4); // the owner is silent again for a moment, within the window of the advances
+  shares.SetFleet({ { "vm-0" }, 10, 10, now, kDetection, false });
+  shares.OnOwnerAnswered("org", 0);
+  int granted = 0;
+  for (int i = 0; i < 40; ++i) {
+    granted += shares.Take(now, organisation, false).kind == RateVerdict::Kind::kGranted ? 1 : 0;
+  }
+  CHECK(granted <= 1); // a tenth of 3 by the settings, in whole tokens
+}
+
 // Guards against tokens that nobody counts: the charge was dropped with the token of the slack.
 TEST_CASE_FIXTURE(RateFixture,
                   "RateOwner, new owner grants out of the slack, advances are charged all the same")
