Gate: what concerns the warmth of the upstream has a file of its own

Moved without a change: IsWarm, StartsPerSecond, HealthPath, ProbeWarmthIfNeeded, OnWarmth and their two constants.

--- a/src/sidecar/Gate.cpp
+++ b/src/sidecar/Gate.cpp
@@ -27,13 +27,6 @@
 /** Stalled bodies are ended after about this time. */
 constexpr Milliseconds kMemoryWait{ 1'000 };
 
-/** An upstream is slow in its first seconds, also if it is not cold. */
-constexpr Milliseconds kSettlingTime{ 1'500 };
-
-/** Starts that are left under the bound when the upstream is asked whether it is still warm. The
- * answer takes the time of a short request, in which a busy upstream starts about so many. */
-constexpr double kWarmthProbeMargin = 4;
-
 /** A complete answer is copied a few times on its way to the caller, on VMs of 160 MB. */
 constexpr std::size_t kMaxAnswersBytes = 24U << 20;
 
@@ -72,12 +65,6 @@
                               (mDelegate.isInUse && !mDelegate.isInUse(mState.Current())));
 }
 
-bool Gate::IsWarm() const
-{
-  const TimePoint now = mClock.Now();
-  return IsAvailable() && !mState.IsCold(now) && now - mUpstreamSince >= kSettlingTime;
-}
-
 std::string Gate::MetricsText() const
 {
   const auto refusals = [](const char* aBelieved, std::uint64_t aCount) {
@@ -214,46 +201,6 @@
   return std::min(most, std::max<Duration>(usual, kMinQueueTime));
 }
 
-double Gate::StartsPerSecond(const std::string& aService) const
-{
-  const double coldCapacity = mDelegate.coldRequestsPerSecond(aService).value_or(0);
-  return mCold.StartsPerSecond(coldCapacity, mState.IsCold(mClock.Now()));
-}
-
-std::string Gate::HealthPath(const std::string& aService) const
-{
-  return mDelegate.healthPath ? mDelegate.healthPath(aService) : std::string();
-}
-
-void Gate::ProbeWarmthIfNeeded()
-{
-  const TimePoint now = mClock.Now();
-  const std::string& service = mState.Current().service;
-  const double bound = StartsPerSecond(service);
-  if (bound <= 0 || !mState.IsAvailable() || mState.IsCold(now) ||
-      mStarts.Remaining(now, bound) > kWarmthProbeMargin) {
-    return;
-  }
-  const std::string path = HealthPath(service);
-  if (!path.empty()) {
-    mWarmth.Ask(mState.Current().address, path);
-  }
-}
-
-void Gate::OnWarmth(const WarmthProbe::Reply& aReply)
-{
-  if (!mState.IsKnown() || aReply.instance != mState.Current().instance) {
-    return;
-  }
-  if (aReply.coldRemaining.count() > 0) {
-    mState.SetCold(mClock.Now() + aReply.coldRemaining);
-    mStarts.OnCold();
-    return;
-  }
-  mStarts.OnWarm(aReply.asked);
-  StartQueued();
-}
-
 void Gate::Refuse(const ResultFn& aDone, ResultCode aReason, Milliseconds aWait)
 {
   GateCallResult result;
